--- /dev/null
+++ b/src/agent/AgentDaemon.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "agent/AgentSettings.h"
+#include "core/Counters.h"
+#include "dispatch/AgentGate.h"
+#include "platform/EventLoop.h"
+#include "platform/HttpClient.h"
+#include "rpc/RpcNode.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+namespace banyanlock
+{
+
+/// One agent: announces its backend server, passes attempts through the gate, and drains.
+class AgentDaemon
+{
+public:
+    /// @param settings Checked settings.
+    explicit AgentDaemon(AgentSettings settings);
+
+    /// Runs until a graceful shutdown has ended.
+    /// @return Done, or why it could not start.
+    Result<Done> run();
+
+private:
+    AgentHandlers makeHandlers();
+    void flush();
+    void carryOut(ForwardToBackend &action);
+    void carryOut(SendReply &action);
+    void announce();
+    void probeBackend();
+    void shutDown();
+    void stopWhenIdle();
+    static BackendResult interpret(HttpReply reply);
+
+    AgentSettings m_settings;
+    std::uint64_t m_incarnation;
+    Counters m_counters;
+    EventLoop m_loop;
+    HttpClient m_http;
+    RpcNode m_rpc;
+    AgentGate m_gate;
+    std::map<AttemptId, std::function<void(AttemptReply)>> m_replies;
+    bool m_backendHealthy = true;
+    bool m_probing = false;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/contract/Configuration.cpp
@@ -0,0 +1,129 @@
+#include "contract/Configuration.h"
+
+#include "contract/ContractCodec.h"
+#include "core/Assert.h"
+#include "core/Guard.h"
+
+#include <algorithm>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::string_view contractPrefix = "contract/";
+constexpr std::string_view failureDomainPrefix = "failure-domain/";
+constexpr std::string_view outState = "out";
+
+/// Finds the place of a record in a sorted list, and makes one if there is none.
+template <typename Record, typename Name> Record &findOrInsert(std::vector<Record> &records, const std::string &name, Name nameOf)
+{
+    const auto place = std::ranges::lower_bound(records, name, {}, nameOf);
+    if (place != records.end() && nameOf(*place) == name) {
+        return *place;
+    }
+    return *records.insert(place, Record());
+}
+
+const std::string &workspaceOf(const ContractRecord &record)
+{
+    return record.contract.workspace;
+}
+
+const std::string &failureDomainOf(const FailureDomainRecord &record)
+{
+    return record.failureDomain;
+}
+
+} // namespace
+
+bool Configuration::adoptContract(const TableRow &row)
+{
+    Result<Contract> decoded = decodeContract(row.value);
+    if (!isOk(decoded)) {
+        return false;
+    }
+    ContractRecord &record = findOrInsert(m_contracts, valueOf(decoded).workspace, workspaceOf);
+    if (row.version <= record.version && isEnabled(Guard::ConfigurationRises)) {
+        return false;
+    }
+    record = {std::move(valueOf(decoded)), row.version};
+    return true;
+}
+
+bool Configuration::adoptFailureDomain(const TableRow &row)
+{
+    const std::string name = row.key.substr(failureDomainPrefix.size());
+    FailureDomainRecord &record = findOrInsert(m_failureDomains, name, failureDomainOf);
+    if (row.version <= record.version && isEnabled(Guard::ConfigurationRises)) {
+        return false;
+    }
+    record = {name, row.value == outState, row.version};
+    return true;
+}
+
+bool Configuration::adoptRow(const TableRow &row)
+{
+    if (row.table != ConfigurationRows::table) {
+        return false;
+    }
+    bool changed = false;
+    if (row.key.starts_with(contractPrefix)) {
+        changed = adoptContract(row);
+    } else if (row.key.starts_with(failureDomainPrefix)) {
+        changed = adoptFailureDomain(row);
+    }
+    if (changed) {
+        const std::uint64_t before = m_version;
+        m_version = isEnabled(Guard::ConfigurationRises) ? std::max(m_version, row.version) : row.version;
+        BANYANLOCK_ASSERT(m_version >= before || !isEnabled(Guard::ConfigurationRises));
+    } else if (row.version < m_version) {
+        m_counters.add(Counter::ConfigurationStaleIgnored);
+    }
+    return changed;
+}
+
+bool Configuration::adopt(std::span<const TableRow> rows)
+{
+    bool changed = !m_ready;
+    m_ready = true;
+    for (const TableRow &row : rows) {
+        changed = adoptRow(row) || changed;
+    }
+
+    if (changed) {
+        m_counters.add(Counter::ConfigurationAdopted);
+    }
+    return changed;
+}
+
+const ContractRecord *Configuration::findContract(std::string_view workspace) const
+{
+    const auto place = std::ranges::lower_bound(m_contracts, workspace, {}, workspaceOf);
+    return place != m_contracts.end() && place->contract.workspace == workspace ? &*place : nullptr;
+}
+
+bool Configuration::isOut(std::string_view failureDomain) const
+{
+    const auto place = std::ranges::lower_bound(m_failureDomains, failureDomain, {}, failureDomainOf);
+    return place != m_failureDomains.end() && place->failureDomain == failureDomain && place->out;
+}
+
+std::uint64_t Configuration::failureDomainVersion(std::string_view failureDomain) const
+{
+    const auto place = std::ranges::lower_bound(m_failureDomains, failureDomain, {}, failureDomainOf);
+    return place != m_failureDomains.end() && place->failureDomain == failureDomain ? place->version : 0;
+}
+
+std::vector<std::string> Configuration::outDomains() const
+{
+    std::vector<std::string> names;
+    for (const FailureDomainRecord &record : m_failureDomains) {
+        if (record.out) {
+            names.push_back(record.failureDomain);
+        }
+    }
+    return names;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/Counters.cpp
@@ -0,0 +1,102 @@
+#include "core/Counters.h"
+
+namespace banyanlock
+{
+namespace
+{
+
+using enum Counter;
+
+constexpr std::array<CounterInfo, static_cast<std::size_t>(Count)> counterTable{{
+    {RequestsReceived, "banyanlock_requests_total", "", "Requests received from callers."},
+    {RequestsAnswered, "banyanlock_outcomes_total", "outcome=\"answered\"", "Requests ended, by outcome."},
+    {RequestsNotRun, "banyanlock_outcomes_total", "outcome=\"not_run\"", ""},
+    {RequestsUnknown, "banyanlock_outcomes_total", "outcome=\"unknown\"", ""},
+    {RefusedMalformed, "banyanlock_refusals_total", "reason=\"malformed_request\"", "Requests refused by this entry, by reason."},
+    {RefusedUnknownWorkspace, "banyanlock_refusals_total", "reason=\"unknown_workspace\"", ""},
+    {RefusedUnknownService, "banyanlock_refusals_total", "reason=\"unknown_service\"", ""},
+    {RefusedRate, "banyanlock_refusals_total", "reason=\"rate_limited\"", ""},
+    {RefusedInFlight, "banyanlock_refusals_total", "reason=\"in_flight_limited\"", ""},
+    {RefusedQueueFull, "banyanlock_refusals_total", "reason=\"queue_full\"", ""},
+    {RefusedDeadline, "banyanlock_refusals_total", "reason=\"deadline_unreachable\"", ""},
+    {RefusedNoBackendServer, "banyanlock_refusals_total", "reason=\"no_backend_server\"", ""},
+    {RefusedDraining, "banyanlock_refusals_total", "reason=\"draining\"", ""},
+    {RefusedStore, "banyanlock_refusals_total", "reason=\"store_unavailable\"", ""},
+    {RefusedConfiguration, "banyanlock_refusals_total", "reason=\"configuration_not_ready\"", ""},
+    {RefusedKeyInUse, "banyanlock_refusals_total", "reason=\"idempotency_key_in_use\"", ""},
+    {RefusedBodyTooLarge, "banyanlock_refusals_total", "reason=\"body_too_large\"", ""},
+    {AttemptsSent, "banyanlock_attempts_total", "", "Attempts sent to agents."},
+    {RetryAgentFull, "banyanlock_retries_total", "reason=\"agent_full\"", "Attempts followed by another, by reason."},
+    {RetryAgentDraining, "banyanlock_retries_total", "reason=\"agent_draining\"", ""},
+    {RetryExpired, "banyanlock_retries_total", "reason=\"attempt_expired\"", ""},
+    {RetryNotSent, "banyanlock_retries_total", "reason=\"attempt_not_sent\"", ""},
+    {RetryBackendUnreachable, "banyanlock_retries_total", "reason=\"backend_unreachable\"", ""},
+    {RetryLost, "banyanlock_retries_total", "reason=\"attempt_lost\"", ""},
+    {RetryBackendError, "banyanlock_retries_total", "reason=\"backend_error\"", ""},
+    {RetryBudgetExhausted, "banyanlock_retry_budget_exhausted_total", "", "Retries not made because the budget was spent."},
+    {DroppedLateAnswer, "banyanlock_dropped_answers_total", "reason=\"late\"", "Answers dropped, by reason."},
+    {DroppedForeignAnswer, "banyanlock_dropped_answers_total", "reason=\"foreign\"", ""},
+    {DroppedTruncatedAnswer, "banyanlock_dropped_answers_total", "reason=\"truncated\"", ""},
+    {RevokesSent, "banyanlock_revokes_total", "result=\"sent\"", "Revocations of attempts, by result."},
+    {RevokesProved, "banyanlock_revokes_total", "result=\"proved\"", ""},
+    {RevokesFailed, "banyanlock_revokes_total", "result=\"failed\"", ""},
+    {CrossRegionBytes, "banyanlock_cross_region_bytes_total", "", "Bytes of bodies sent to and received from other regions."},
+    {CrossRegionAttempts, "banyanlock_cross_region_attempts_total", "", "Attempts sent to other regions."},
+    {MembersJoined, "banyanlock_members_total", "event=\"joined\"", "Changes of the set of agents, by event."},
+    {MembersLeft, "banyanlock_members_total", "event=\"left\"", ""},
+    {MembersExpired, "banyanlock_members_total", "event=\"expired\"", ""},
+    {MembersEjected, "banyanlock_members_total", "event=\"ejected\"", ""},
+    {AgentAccepted, "banyanlock_agent_attempts_total", "result=\"accepted\"", "Attempts seen by this agent, by result."},
+    {AgentRefusedFull, "banyanlock_agent_attempts_total", "result=\"agent_full\"", ""},
+    {AgentRefusedDraining, "banyanlock_agent_attempts_total", "result=\"agent_draining\"", ""},
+    {AgentRefusedExpired, "banyanlock_agent_attempts_total", "result=\"attempt_expired\"", ""},
+    {AgentRefusedIncarnation, "banyanlock_agent_attempts_total", "result=\"wrong_incarnation\"", ""},
+    {AgentRefusedDuplicate, "banyanlock_agent_attempts_total", "result=\"duplicate_attempt\"", ""},
+    {AgentRefusedRevoked, "banyanlock_agent_attempts_total", "result=\"attempt_revoked\"", ""},
+    {AgentForwarded, "banyanlock_agent_attempts_total", "result=\"forwarded\"", ""},
+    {StoreReads, "banyanlock_store_operations_total", "kind=\"read\"", "Operations on the table service, by kind."},
+    {StoreWrites, "banyanlock_store_operations_total", "kind=\"write\"", ""},
+    {StoreConflicts, "banyanlock_store_operations_total", "kind=\"conflict\"", ""},
+    {StoreFailures, "banyanlock_store_operations_total", "kind=\"failure\"", ""},
+    {StoreUnknownSettled, "banyanlock_store_operations_total", "kind=\"unknown_settled\"", ""},
+    {ConfigurationAdopted, "banyanlock_configuration_total", "event=\"adopted\"", "Configuration versions seen, by event."},
+    {ConfigurationStaleIgnored, "banyanlock_configuration_total", "event=\"stale_ignored\"", ""},
+    {CellsTaken, "banyanlock_cells_total", "event=\"taken\"", "Changes of cell ownership at this entry, by event."},
+    {CellsLost, "banyanlock_cells_total", "event=\"lost\"", ""},
+    {GangsPlaced, "banyanlock_gangs_total", "event=\"placed\"", "Steps of gangs, by event."},
+    {GangsStarted, "banyanlock_gangs_total", "event=\"started\"", ""},
+    {GangsReleased, "banyanlock_gangs_total", "event=\"released\"", ""},
+    {GangsPreempted, "banyanlock_gangs_total", "event=\"preempted\"", ""},
+    {GangsRequeued, "banyanlock_gangs_total", "event=\"requeued\"", ""},
+    {GangMembersLost, "banyanlock_gangs_total", "event=\"member_lost\"", ""},
+    {JobsSucceeded, "banyanlock_jobs_total", "state=\"succeeded\"", "Jobs ended, by state."},
+    {JobsFailed, "banyanlock_jobs_total", "state=\"failed\"", ""},
+    {JobsCancelled, "banyanlock_jobs_total", "state=\"cancelled\"", ""},
+    {WorkersQuarantined, "banyanlock_workers_total", "event=\"quarantined\"", "Events of workers."},
+    {WorkerMessages, "banyanlock_worker_messages_total", "result=\"sent\"", "Messages to workers, by result."},
+    {WorkerFailures, "banyanlock_worker_messages_total", "result=\"failed\"", ""},
+    {GuaranteeShortfalls, "banyanlock_guarantee_shortfalls_total", "", "Plans in which some guarantee had no room."},
+}};
+
+} // namespace
+
+std::string Counters::toPrometheus() const
+{
+    std::string text;
+    std::string_view lastMetric;
+    for (const CounterInfo &info : counterTable) {
+        if (info.metric != lastMetric) {
+            text += "# HELP " + std::string(info.metric) + " " + std::string(info.help) + "\n";
+            text += "# TYPE " + std::string(info.metric) + " counter\n";
+            lastMetric = info.metric;
+        }
+        text += info.metric;
+        if (!info.label.empty()) {
+            text += "{" + std::string(info.label) + "}";
+        }
+        text += " " + std::to_string(value(info.counter)) + "\n";
+    }
+    return text;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/Counters.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <array>
+#include <atomic>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace banyanlock
+{
+
+/// Every event that is counted. The table in Counters.cpp gives metric and label of each.
+enum class Counter : std::uint16_t {
+    RequestsReceived,
+    RequestsAnswered,
+    RequestsNotRun,
+    RequestsUnknown,
+    RefusedMalformed,
+    RefusedUnknownWorkspace,
+    RefusedUnknownService,
+    RefusedRate,
+    RefusedInFlight,
+    RefusedQueueFull,
+    RefusedDeadline,
+    RefusedNoBackendServer,
+    RefusedDraining,
+    RefusedStore,
+    RefusedConfiguration,
+    RefusedKeyInUse,
+    RefusedBodyTooLarge,
+    AttemptsSent,
+    RetryAgentFull,
+    RetryAgentDraining,
+    RetryExpired,
+    RetryNotSent,
+    RetryBackendUnreachable,
+    RetryLost,
+    RetryBackendError,
+    RetryBudgetExhausted,
+    DroppedLateAnswer,
+    DroppedForeignAnswer,
+    DroppedTruncatedAnswer,
+    RevokesSent,
+    RevokesProved,
+    RevokesFailed,
+    CrossRegionBytes,
+    CrossRegionAttempts,
+    MembersJoined,
+    MembersLeft,
+    MembersExpired,
+    MembersEjected,
+    AgentAccepted,
+    AgentRefusedFull,
+    AgentRefusedDraining,
+    AgentRefusedExpired,
+    AgentRefusedIncarnation,
+    AgentRefusedDuplicate,
+    AgentRefusedRevoked,
+    AgentForwarded,
+    StoreReads,
+    StoreWrites,
+    StoreConflicts,
+    StoreFailures,
+    StoreUnknownSettled,
+    ConfigurationAdopted,
+    ConfigurationStaleIgnored,
+    CellsTaken,
+    CellsLost,
+    GangsPlaced,
+    GangsStarted,
+    GangsReleased,
+    GangsPreempted,
+    GangsRequeued,
+    GangMembersLost,
+    JobsSucceeded,
+    JobsFailed,
+    JobsCancelled,
+    WorkersQuarantined,
+    WorkerMessages,
+    WorkerFailures,
+    GuaranteeShortfalls,
+    Count,
+};
+
+/// Name of a counter in the Prometheus text format.
+struct CounterInfo {
+    Counter counter; ///< The counter.
+    std::string_view metric; ///< Metric name.
+    std::string_view label; ///< Label with its value, or empty.
+    std::string_view help; ///< What is counted.
+};
+
+/// Counters of one process. Incrementing is safe from every thread.
+class Counters
+{
+public:
+    /// Adds to a counter.
+    /// @param counter Which counter.
+    /// @param amount What to add.
+    void add(Counter counter, std::uint64_t amount = 1)
+    {
+        m_values[static_cast<std::size_t>(counter)].fetch_add(amount, std::memory_order_relaxed);
+    }
+
+    /// @param counter Which counter.
+    /// @return Its value.
+    std::uint64_t value(Counter counter) const
+    {
+        return m_values[static_cast<std::size_t>(counter)].load(std::memory_order_relaxed);
+    }
+
+    /// @return All counters in the Prometheus text format.
+    std::string toPrometheus() const;
+
+private:
+    std::array<std::atomic<std::uint64_t>, static_cast<std::size_t>(Counter::Count)> m_values{};
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/Log.cpp
@@ -0,0 +1,94 @@
+#include "core/Log.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/core/null_deleter.hpp>
+#include <boost/log/core.hpp>
+#include <boost/log/expressions.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
+#include <boost/log/sources/logger.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/make_shared.hpp>
+#include <chrono>
+#include <iostream>
+#include <nlohmann/json.hpp>
+
+namespace banyanlock
+{
+namespace
+{
+
+namespace logging = boost::log;
+
+constexpr std::array<std::string_view, 4> levelNames{"debug", "info", "warning", "error"};
+
+struct LogIdentity {
+    std::string role;
+    std::string name;
+    LogLevel level = LogLevel::Error;
+    bool started = false;
+};
+
+LogIdentity &identity()
+{
+    static LogIdentity instance;
+    return instance;
+}
+
+std::string utcTimestamp()
+{
+    const auto now = std::chrono::system_clock::now();
+    const std::time_t seconds = std::chrono::system_clock::to_time_t(now);
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count() % 1000;
+    std::tm parts{};
+    gmtime_r(&seconds, &parts);
+    std::array<char, 40> text{};
+    const std::size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(text.data() + length, text.size() - length, ".%03dZ", static_cast<int>(milliseconds));
+    return text.data();
+}
+
+} // namespace
+
+void Log::start(std::string_view role, std::string_view name, LogLevel level)
+{
+    identity() = {std::string(role), std::string(name), level, true};
+    using Backend = logging::sinks::text_ostream_backend;
+    auto backend = boost::make_shared<Backend>();
+    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
+    backend->auto_flush(true);
+    auto sink = boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+    sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
+    logging::core::get()->add_sink(sink);
+}
+
+void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
+{
+    if (!identity().started || level < identity().level) {
+        return;
+    }
+    nlohmann::ordered_json line;
+    line["time"] = utcTimestamp();
+    line["level"] = levelNames[static_cast<std::size_t>(level)];
+    line["role"] = identity().role;
+    line["name"] = identity().name;
+    line["event"] = event;
+    for (const LogField &field : fields) {
+        std::visit(
+            [&](const auto &value) {
+                line[std::string(field.name)] = value;
+            },
+            field.value);
+    }
+    static logging::sources::logger_mt logger;
+    BOOST_LOG(logger) << line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+LogLevel Log::levelFromName(std::string_view name)
+{
+    const auto found = std::ranges::find(levelNames, name);
+    return found == levelNames.end() ? LogLevel::Info : static_cast<LogLevel>(found - levelNames.begin());
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/Result.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "core/ResultCode.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+
+namespace banyanlock
+{
+
+/// A numbered failure with its particulars.
+struct Error {
+    ResultCode code = ResultCode::Ok; ///< Which failure.
+    std::string detail; ///< Field, value and reason, for people.
+};
+
+/// Holds a value or the error that kept it from being made.
+template <typename Value> using Result = std::variant<Value, Error>;
+
+/// Value of a result that carries nothing but success.
+struct Done {
+};
+
+/// @param result Result to look at.
+/// @return Whether it holds a value.
+template <typename Value> bool isOk(const Result<Value> &result)
+{
+    return std::holds_alternative<Value>(result);
+}
+
+/// @param result Result that holds a value.
+/// @return The value.
+template <typename Value> Value &valueOf(Result<Value> &result)
+{
+    return *std::get_if<Value>(&result);
+}
+
+/// @param result Result that holds a value.
+/// @return The value.
+template <typename Value> const Value &valueOf(const Result<Value> &result)
+{
+    return *std::get_if<Value>(&result);
+}
+
+/// @param result Result that holds an error.
+/// @return The error.
+template <typename Value> const Error &errorOf(const Result<Value> &result)
+{
+    return *std::get_if<Error>(&result);
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/SettingKey.cpp
@@ -0,0 +1,41 @@
+#include "core/SettingKey.h"
+
+#include "core/Endpoint.h"
+
+#include <array>
+#include <charconv>
+
+namespace banyanlock
+{
+
+std::string_view settingUnitName(SettingUnit unit)
+{
+    static constexpr std::array<std::string_view, 9> names{
+        "text", "address", "list of addresses", "list of texts", "URL", "milliseconds", "bytes", "count", "percent"};
+    return names[static_cast<std::size_t>(unit)];
+}
+
+std::string checkSettingText(SettingUnit unit, const std::string &value)
+{
+    if (value.empty()) {
+        return "must not be empty";
+    }
+    if (unit == SettingUnit::Address || unit == SettingUnit::AddressList) {
+        return Endpoint::parse(value).has_value() ? "" : "'" + value + "' is not an IP number with a port, like 127.0.0.1:8080";
+    }
+    if (unit == SettingUnit::Url) {
+        constexpr std::string_view scheme = "http://";
+        const bool good = value.starts_with(scheme) && Endpoint::parse(value.substr(scheme.size())).has_value();
+        return good ? "" : "'" + value + "' is not a URL like http://127.0.0.1:8080";
+    }
+    return {};
+}
+
+bool parseSettingNumber(const std::string &value, std::int64_t &number)
+{
+    const char *end = value.data() + value.size();
+    const auto parsed = std::from_chars(value.data(), end, number);
+    return parsed.ec == std::errc() && parsed.ptr == end;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/SettingKey.h
@@ -0,0 +1,168 @@
+#pragma once
+
+#include "core/SettingsDocument.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Unit of a setting, for checks, messages and the generated page.
+enum class SettingUnit : std::uint8_t {
+    Text,
+    Address, ///< IP number and port, `127.0.0.1:8080`.
+    AddressList,
+    TextList,
+    Url, ///< `http://` with IP number and port.
+    Milliseconds,
+    Bytes,
+    Count,
+    Percent,
+};
+
+/// @param unit Unit to name.
+/// @return Its name.
+std::string_view settingUnitName(SettingUnit unit);
+
+/// One key of a role's settings, bound to the member that takes its value.
+/// @tparam Settings Settings structure of the role.
+template <typename Settings> struct SettingKey {
+    std::string_view name; ///< Key in the file.
+    SettingUnit unit; ///< Unit of the value.
+    std::variant<std::string Settings::*, std::int64_t Settings::*, std::vector<std::string> Settings::*> member; ///< Where the value goes.
+    std::int64_t minimum = 0; ///< Least value of a number.
+    std::int64_t maximum = 0; ///< Largest value of a number.
+    bool required = false; ///< Whether the key must be present.
+    std::string_view meaning; ///< One sentence for people.
+};
+
+/// Checks one text against its unit.
+/// @param unit Expected unit.
+/// @param value Text from the file.
+/// @return Empty when it is good, else the reason.
+std::string checkSettingText(SettingUnit unit, const std::string &value);
+
+/// Parses a whole number.
+/// @param value Text from the file.
+/// @param number Receives the number.
+/// @return Whether the text was a whole number.
+bool parseSettingNumber(const std::string &value, std::int64_t &number);
+
+/// Checks one entry and stores its value.
+/// @param key Key that the entry matched.
+/// @param entry Entry of the file.
+/// @param settings Receives the value.
+/// @return Empty when it is good, else the reason.
+template <typename Settings> std::string applySetting(const SettingKey<Settings> &key, const SettingsEntry &entry, Settings &settings)
+{
+    if (const auto *list = std::get_if<std::vector<std::string> Settings::*>(&key.member)) {
+        if (!entry.isList) {
+            return "must be a list";
+        }
+        for (const std::string &value : entry.values) {
+            if (std::string reason = checkSettingText(key.unit, value); !reason.empty()) {
+                return reason;
+            }
+        }
+        settings.*(*list) = entry.values;
+        return {};
+    }
+    if (entry.isList) {
+        return "must be a single value";
+    }
+    const std::string &value = entry.values.front();
+    if (const auto *text = std::get_if<std::string Settings::*>(&key.member)) {
+        std::string reason = checkSettingText(key.unit, value);
+        if (reason.empty()) {
+            settings.*(*text) = value;
+        }
+        return reason;
+    }
+    std::int64_t number = 0;
+    if (!parseSettingNumber(value, number)) {
+        return "'" + value + "' is not a whole number of " + std::string(settingUnitName(key.unit));
+    }
+    if (number < key.minimum || number > key.maximum) {
+        return value + " is outside " + std::to_string(key.minimum) + " to " + std::to_string(key.maximum) + " "
+            + std::string(settingUnitName(key.unit));
+    }
+    settings.*(*std::get_if<std::int64_t Settings::*>(&key.member)) = number;
+    return {};
+}
+
+/// Reads a role's settings and checks every key.
+/// @param path File to read.
+/// @param keys All keys of the role.
+/// @return The settings, or `InvalidSettings` listing every fault with file, line, key and reason.
+template <typename Settings> Result<Settings> readSettings(const std::string &path, std::span<const SettingKey<Settings>> keys)
+{
+    Result<SettingsDocument> loaded = SettingsDocument::load(path);
+    if (!isOk(loaded)) {
+        return errorOf(loaded);
+    }
+    const SettingsDocument &document = valueOf(loaded);
+    Settings settings;
+    std::vector<bool> seen(keys.size(), false);
+    std::string faults;
+    const auto addFault = [&](int line, const std::string &key, const std::string &reason) {
+        faults += faults.empty() ? "" : "\n";
+        faults += document.describe(line, key, reason);
+    };
+    for (const SettingsEntry &entry : document.entries) {
+        std::size_t index = 0;
+        while (index < keys.size() && keys[index].name != entry.key) {
+            ++index;
+        }
+        if (index == keys.size()) {
+            addFault(entry.line, entry.key, "unknown key");
+            continue;
+        }
+        if (seen[index]) {
+            addFault(entry.line, entry.key, "given twice");
+            continue;
+        }
+        seen[index] = true;
+        if (std::string reason = applySetting(keys[index], entry, settings); !reason.empty()) {
+            addFault(entry.line, entry.key, reason);
+        }
+    }
+    for (std::size_t index = 0; index < keys.size(); ++index) {
+        if (keys[index].required && !seen[index]) {
+            addFault(0, std::string(keys[index].name), "missing, and has no default");
+        }
+    }
+    if (!faults.empty()) {
+        return Error{ResultCode::InvalidSettings, faults};
+    }
+    return settings;
+}
+
+/// Writes the table of a role's keys as Markdown.
+/// @param role Heading of the table.
+/// @param keys All keys of the role.
+/// @return Markdown text with unit, range, default and meaning of each key.
+template <typename Settings> std::string describeSettings(std::string_view role, std::span<const SettingKey<Settings>> keys)
+{
+    const Settings defaults;
+    std::string text = "## " + std::string(role) + "\n\n| key | unit | range | default | meaning |\n|---|---|---|---|---|\n";
+    for (const SettingKey<Settings> &key : keys) {
+        std::string range;
+        std::string fallback = key.required ? "(required)" : "";
+        if (const auto *number = std::get_if<std::int64_t Settings::*>(&key.member)) {
+            range = std::to_string(key.minimum) + " to " + std::to_string(key.maximum);
+            fallback = key.required ? fallback : std::to_string(defaults.*(*number));
+        } else if (const auto *word = std::get_if<std::string Settings::*>(&key.member)) {
+            fallback = key.required ? fallback : defaults.*(*word);
+        }
+        text += "| `" + std::string(key.name) + "` | " + std::string(settingUnitName(key.unit)) + " | " + range + " | " + fallback + " | "
+            + std::string(key.meaning) + " |\n";
+    }
+    return text;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/Time.h
@@ -0,0 +1,55 @@
+#pragma once
+
+/// @file
+/// Time types shared by all libraries.
+
+#include <chrono>
+#include <cstdint>
+
+namespace banyanlock
+{
+
+/// Span of time, in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// Tag clock for points on the process's monotonic time line. Decision code never reads it; shells pass `now` in.
+struct MonotonicClock {
+    /// Span type of the clock.
+    using duration = Duration;
+    /// Representation of a span.
+    using rep = Duration::rep;
+    /// Period of one tick.
+    using period = Duration::period;
+    /// Point type of the clock.
+    using time_point = std::chrono::time_point<MonotonicClock, Duration>;
+    /// The clock never goes backwards.
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard names it
+
+    /// Reads the system's monotonic clock, which goes on while the process is stopped.
+    /// @return The current point in time.
+    static time_point now()
+    {
+        return time_point(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+    }
+};
+
+/// Point on the monotonic time line.
+using TimePoint = MonotonicClock::time_point;
+
+/// Converts a span to whole milliseconds.
+/// @param span Span to convert.
+/// @return Milliseconds, rounded towards zero.
+constexpr std::int64_t toMilliseconds(Duration span)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
+/// Makes a span from milliseconds.
+/// @param milliseconds Length of the span.
+/// @return The span.
+constexpr Duration fromMilliseconds(std::int64_t milliseconds)
+{
+    return std::chrono::milliseconds(milliseconds);
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/core/TimerService.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/Time.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Names one subscription of the timer service. A default-made id names none.
+struct TimerId {
+    /// Slot of the subscription.
+    std::uint32_t slot = 0;
+    /// Generation of the slot; zero names no subscription.
+    std::uint32_t generation = 0;
+};
+
+/// Calls subscribers when their time has come.
+///
+/// The service reads no clock: its owner advances it, in a daemon from the system's clock and in tests from virtual time. Subscriptions
+/// with the same deadline fire in the order in which they were made, so that a run is deterministic.
+class TimerService
+{
+public:
+    /// Called when a deadline has passed, with the current time.
+    using Callback = std::function<void(TimePoint)>;
+
+    /// Subscribes to a point in time.
+    /// @param deadline When to call; a past deadline fires at the next advance.
+    /// @param callback What to call, once.
+    /// @return Id to cancel with.
+    TimerId subscribe(TimePoint deadline, Callback callback);
+
+    /// Cancels a subscription; does nothing if it has fired or was cancelled.
+    /// @param id Subscription to cancel.
+    void cancel(TimerId id);
+
+    /// Fires all subscriptions that are due, including those that callbacks add.
+    /// @param now Current time; never earlier than the one before.
+    void advanceTo(TimePoint now);
+
+    /// @return The earliest deadline, or nothing when there is no subscription.
+    std::optional<TimePoint> nextDeadline();
+
+    /// @return Number of live subscriptions.
+    std::size_t size() const
+    {
+        return m_slots.size() - m_freeSlots.size();
+    }
+
+private:
+    struct Slot {
+        Callback callback;
+        std::uint32_t generation = 1;
+        bool live = false;
+    };
+    struct HeapItem {
+        TimePoint deadline;
+        std::uint64_t order;
+        TimerId id;
+    };
+
+    static bool laterThan(const HeapItem &left, const HeapItem &right);
+    bool isLive(TimerId id) const;
+    void releaseSlot(std::uint32_t slot);
+    void dropCancelledTop();
+    HeapItem popTop();
+
+    std::vector<Slot> m_slots;
+    std::vector<std::uint32_t> m_freeSlots;
+    std::vector<HeapItem> m_heap;
+    std::uint64_t m_nextOrder = 0;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/dispatch/AgentGate.cpp
@@ -0,0 +1,196 @@
+#include "dispatch/AgentGate.h"
+
+#include "core/Assert.h"
+#include "core/Guard.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+
+ResultCode AgentGate::check(const AttemptMessage &message, TimePoint now) const
+{
+    if (message.agentIncarnation != m_limits.incarnation && isEnabled(Guard::AgentIncarnation)) {
+        return ResultCode::WrongIncarnation;
+    }
+    if (const auto known = m_attempts.find(message.id); known != m_attempts.end()) {
+        const bool revoked = known->second.state == AttemptState::Revoked;
+        if (revoked && isEnabled(Guard::AgentTombstone)) {
+            return ResultCode::AttemptRevoked;
+        }
+        if (!revoked && isEnabled(Guard::AgentDuplicate)) {
+            return ResultCode::DuplicateAttempt;
+        }
+    }
+    if (now >= message.startBy + m_limits.rememberFor) {
+        // The id may have been forgotten after it ran.
+        return ResultCode::DuplicateAttempt;
+    }
+    if (now >= message.startBy && isEnabled(Guard::AgentStartBy)) {
+        return ResultCode::AttemptExpired;
+    }
+    if (m_draining) {
+        return ResultCode::AgentDraining;
+    }
+    const bool full = m_running >= m_limits.slots && m_queue.size() >= m_limits.queueSlots;
+    return full ? ResultCode::AgentFull : ResultCode::Ok;
+}
+
+void AgentGate::countRefusal(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::WrongIncarnation:
+        m_counters.add(Counter::AgentRefusedIncarnation);
+        break;
+    case ResultCode::AttemptRevoked:
+        m_counters.add(Counter::AgentRefusedRevoked);
+        break;
+    case ResultCode::DuplicateAttempt:
+        m_counters.add(Counter::AgentRefusedDuplicate);
+        break;
+    case ResultCode::AttemptExpired:
+        m_counters.add(Counter::AgentRefusedExpired);
+        break;
+    case ResultCode::AgentDraining:
+        m_counters.add(Counter::AgentRefusedDraining);
+        break;
+    default:
+        m_counters.add(Counter::AgentRefusedFull);
+        break;
+    }
+}
+
+void AgentGate::offer(AttemptMessage message, TimePoint now)
+{
+    const ResultCode code = check(message, now);
+    if (code != ResultCode::Ok) {
+        countRefusal(code);
+        // The first delivery of a duplicate will be answered; a second answer could only contradict it.
+        if (code != ResultCode::DuplicateAttempt) {
+            // A refusal is final, also for a second delivery of the same message.
+            m_attempts.insert({message.id, {AttemptState::Revoked, message.startBy}});
+            reply(message.id, {code, 0, {}, nullptr}, now);
+        }
+        return;
+    }
+    m_counters.add(Counter::AgentAccepted);
+    m_attempts[message.id] = {AttemptState::Queued, message.startBy};
+    m_queue.push_back(std::move(message));
+    startQueued(now);
+}
+
+void AgentGate::startQueued(TimePoint now)
+{
+    while (m_running < m_limits.slots && !m_queue.empty()) {
+        AttemptMessage message = std::move(m_queue.front());
+        m_queue.pop_front();
+        AttemptRecord &record = m_attempts[message.id];
+        if (now >= message.startBy && isEnabled(Guard::AgentStartBy)) {
+            record.state = AttemptState::Revoked;
+            countRefusal(ResultCode::AttemptExpired);
+            reply(message.id, {ResultCode::AttemptExpired, 0, {}, nullptr}, now);
+            continue;
+        }
+        BANYANLOCK_ASSERT(record.state == AttemptState::Queued || !isEnabled(Guard::AgentTombstone));
+        record.state = AttemptState::Running;
+        forward(std::move(message));
+    }
+}
+
+void AgentGate::forward(AttemptMessage message)
+{
+    ++m_running;
+    BANYANLOCK_ASSERT(m_running <= m_limits.slots);
+    m_counters.add(Counter::AgentForwarded);
+    m_actions.emplace_back(ForwardToBackend{std::move(message)});
+}
+
+RevocationState AgentGate::revoke(const Revocation &revocation, TimePoint now)
+{
+    if (revocation.agentIncarnation != m_limits.incarnation) {
+        return RevocationState::WrongIncarnation;
+    }
+    const auto known = m_attempts.find(revocation.id);
+    if (known == m_attempts.end()) {
+        // The attempt may have run and been forgotten.
+        if (now >= revocation.startBy + m_limits.rememberFor) {
+            return RevocationState::Started;
+        }
+        m_attempts[revocation.id] = {AttemptState::Revoked, revocation.startBy};
+        return RevocationState::Revoked;
+    }
+    if (known->second.state == AttemptState::Queued && isEnabled(Guard::AgentTombstone)) {
+        std::erase_if(m_queue, [&](const AttemptMessage &message) {
+            return message.id == revocation.id;
+        });
+        known->second.state = AttemptState::Revoked;
+    }
+    const bool promised = known->second.state == AttemptState::Revoked || !isEnabled(Guard::AgentTombstone);
+    return promised ? RevocationState::Revoked : RevocationState::Started;
+}
+
+void AgentGate::finish(AttemptId id, const BackendResult &result, TimePoint now)
+{
+    BANYANLOCK_ASSERT(m_running > 0);
+    --m_running;
+    if (const auto known = m_attempts.find(id); known != m_attempts.end()) {
+        // A connection that was never made proves that the attempt did not run.
+        const bool notRun = infoOf(result.code).outcome == Outcome::NotRun;
+        known->second.state = notRun ? AttemptState::Revoked : AttemptState::Finished;
+    }
+    startQueued(now);
+    reply(id, result, now);
+}
+
+void AgentGate::reply(AttemptId id, const BackendResult &result, TimePoint now)
+{
+    AttemptReply reply;
+    reply.id = id;
+    reply.agentIncarnation = m_limits.incarnation;
+    reply.code = result.code;
+    reply.status = result.status;
+    reply.contentType = result.contentType;
+    reply.body = result.body;
+    reply.declaredBytes = result.body ? result.body->size() : 0;
+    reply.load = load(now);
+    m_actions.emplace_back(SendReply{std::move(reply)});
+}
+
+void AgentGate::expire(TimePoint now)
+{
+    std::vector<AttemptId> late;
+    std::erase_if(m_queue, [&](const AttemptMessage &message) {
+        const bool isLate = now >= message.startBy && isEnabled(Guard::AgentStartBy);
+        if (isLate) {
+            late.push_back(message.id);
+        }
+        return isLate;
+    });
+    for (const AttemptId &id : late) {
+        m_attempts[id].state = AttemptState::Revoked;
+        countRefusal(ResultCode::AttemptExpired);
+        reply(id, {ResultCode::AttemptExpired, 0, {}, nullptr}, now);
+    }
+    std::erase_if(m_attempts, [&](const auto &entry) {
+        const bool done = entry.second.state == AttemptState::Finished || entry.second.state == AttemptState::Revoked;
+        return done && now >= entry.second.startBy + m_limits.rememberFor;
+    });
+}
+
+bool AgentGate::mayStop() const
+{
+    return m_draining && ((m_running == 0 && m_queue.empty()) || !isEnabled(Guard::DrainWaits));
+}
+
+AgentLoad AgentGate::load(TimePoint now) const
+{
+    return {m_running, static_cast<std::uint16_t>(m_queue.size()), now};
+}
+
+std::vector<GateAction> AgentGate::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/dispatch/MemberTable.cpp
@@ -0,0 +1,137 @@
+#include "dispatch/MemberTable.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr double averageWeight = 0.2;
+constexpr double peerFailureRatio = 0.5;
+
+void moveAverage(double &average, double sample, bool first)
+{
+    average = first ? sample : average + averageWeight * (sample - average);
+}
+
+} // namespace
+
+void MemberTable::announce(const Announcement &announcement, TimePoint now)
+{
+    auto member = std::ranges::find_if(m_members, [&](const Member &known) {
+        return known.announced.agent == announcement.agent;
+    });
+    if (member == m_members.end()) {
+        if (announcement.leaving) {
+            return;
+        }
+        m_members.emplace_back();
+        member = m_members.end() - 1;
+        m_counters.add(Counter::MembersJoined);
+    } else if (member->announced.incarnation != announcement.incarnation) {
+        // A leaving process says goodbye last; its successor may have announced itself before.
+        if (announcement.leaving) {
+            return;
+        }
+        *member = Member();
+        m_counters.add(Counter::MembersJoined);
+    }
+    if (announcement.leaving && !member->announced.leaving) {
+        m_counters.add(Counter::MembersLeft);
+    }
+    // Leaving is final for a process: a late heartbeat doesn't bring it back.
+    const bool leaving = member->announced.leaving || announcement.leaving;
+    member->announced.leaving = leaving;
+    if (announcement.load.clock < member->announced.load.clock) {
+        return;
+    }
+    const AgentLoad load = member->announced.load;
+    member->announced = announcement;
+    member->announced.load = load;
+    member->announced.leaving = leaving;
+    member->lastHeard = now;
+    member->suspect = false;
+    reportLoad(*member, announcement.load, now);
+}
+
+void MemberTable::expire(TimePoint now)
+{
+    const std::size_t removed = std::erase_if(m_members, [&](const Member &member) {
+        return now - member.lastHeard > m_limits.forgetAfter;
+    });
+    m_counters.add(Counter::MembersExpired, removed);
+}
+
+Member *MemberTable::find(std::string_view agent, std::uint64_t incarnation)
+{
+    const auto member = std::ranges::find_if(m_members, [&](const Member &known) {
+        return known.announced.agent == agent && known.announced.incarnation == incarnation;
+    });
+    return member == m_members.end() ? nullptr : &*member;
+}
+
+bool MemberTable::isEligible(const Member &member, TimePoint now) const
+{
+    const bool fresh = now - member.lastHeard <= m_limits.maximumAge;
+    const bool serving = !member.announced.leaving && member.announced.healthy && !member.suspect;
+    const bool ejected = now < member.ejectedUntil || (member.probing && member.outstanding > 0);
+    return fresh && serving && !ejected;
+}
+
+bool MemberTable::knowsService(std::string_view service) const
+{
+    return std::ranges::any_of(m_members, [&](const Member &member) {
+        return member.announced.service == service;
+    });
+}
+
+void MemberTable::reportLoad(Member &member, const AgentLoad &load, TimePoint now)
+{
+    if (load.clock < member.announced.load.clock) {
+        return;
+    }
+    member.announced.load = load;
+    member.clockReadAt = now;
+    member.sentSinceReport = 0;
+}
+
+void MemberTable::recordResult(Member &member, bool succeeded, Duration elapsed, TimePoint now)
+{
+    const bool first = member.samples == 0;
+    ++member.samples;
+    moveAverage(member.failureRate, succeeded ? 0.0 : 1.0, first);
+    if (succeeded) {
+        moveAverage(member.serviceMicroseconds, static_cast<double>(elapsed.count()), member.serviceMicroseconds == 0);
+        member.probing = false;
+        member.ejections = 0;
+        return;
+    }
+    const bool failsOften = member.samples >= m_limits.ejectSamples && member.failureRate >= m_limits.ejectFailureRate;
+    if (member.probing || (failsOften && peersAreBetter(member, now))) {
+        eject(member, now);
+    }
+}
+
+bool MemberTable::peersAreBetter(const Member &member, TimePoint now) const
+{
+    // A request that fails everywhere says nothing about the member that it failed on.
+    return std::ranges::any_of(m_members, [&](const Member &peer) {
+        return &peer != &member && peer.announced.service == member.announced.service && isEligible(peer, now)
+            && peer.failureRate < member.failureRate * peerFailureRatio;
+    });
+}
+
+void MemberTable::eject(Member &member, TimePoint now)
+{
+    const Duration doubled = m_limits.firstEjection * (1U << std::min(member.ejections, 10U));
+    member.ejectedUntil = now + std::min(doubled, m_limits.longestEjection);
+    member.probing = true;
+    ++member.ejections;
+    m_counters.add(Counter::MembersEjected);
+    BANYANLOCK_ASSERT(member.ejectedUntil > now);
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/CellHost.cpp
@@ -0,0 +1,266 @@
+#include "entry/CellHost.h"
+
+#include "core/Log.h"
+#include "schedule/WorkerCodec.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <xxhash.h>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr const char *cellTable = "cells";
+constexpr Duration lookInterval = fromMilliseconds(250);
+constexpr Duration discoveryTime = fromMilliseconds(1500); // for the first heartbeats of the peers
+constexpr Duration takeoverAfter = fromMilliseconds(3500); // the owner may be known only from its row
+constexpr Duration contactLimit = fromMilliseconds(5000);
+constexpr long workerTimeoutMilliseconds = 1000;
+
+std::uint64_t rendezvousWeight(const std::string &failureDomain, const std::string &entry)
+{
+    const std::string text = failureDomain + "/" + entry;
+    return XXH64(text.data(), text.size(), 0);
+}
+
+} // namespace
+
+CellHost::CellHost(EntryIdentity identity, EventLoop &loop, StoreMirror &mirror, TableClient &table, HttpClient &http,
+                   const PeerTable &peers, std::size_t peerCount, Counters &counters)
+    : m_identity(std::move(identity))
+    , m_loop(loop)
+    , m_mirror(mirror)
+    , m_table(table)
+    , m_http(http)
+    , m_peers(peers)
+    , m_peerCount(peerCount)
+    , m_counters(counters)
+{
+}
+
+void CellHost::start()
+{
+    m_startedAt = EventLoop::now();
+    m_attachedAt = m_startedAt;
+    m_loop.repeat(lookInterval, [this](TimePoint now) {
+        look(now);
+    });
+}
+
+Cell *CellHost::find(const std::string &failureDomain)
+{
+    const auto place = std::ranges::find(m_cellNames, failureDomain);
+    return place == m_cellNames.end() ? nullptr : m_cells[static_cast<std::size_t>(place - m_cellNames.begin())].get();
+}
+
+Cell &CellHost::findOrMake(const std::string &failureDomain)
+{
+    if (Cell *cell = find(failureDomain)) {
+        return *cell;
+    }
+    const CellContext context{m_loop.timers(), m_counters, m_mirror.fleet(), m_mirror.configuration(), m_mirror.plan(), m_mirror.jobs()};
+    m_cellNames.push_back(failureDomain);
+    m_cells.push_back(std::make_unique<Cell>(failureDomain, m_identity.name, context));
+    return *m_cells.back();
+}
+
+// ---- ownership
+
+std::string CellHost::preferredEntry(const std::string &failureDomain, TimePoint now) const
+{
+    std::vector<PeerHeartbeat> entries = m_peers.live(now);
+    if (!m_draining) {
+        entries.push_back({m_identity.name, m_identity.incarnation, m_identity.failureDomain, m_identity.region, 0, 0, false});
+    }
+    const PeerHeartbeat *best = nullptr;
+    for (const PeerHeartbeat &entry : entries) {
+        if (best == nullptr) {
+            best = &entry;
+            continue;
+        }
+        // The nearest entry sees a cell's workers longest; the hash spreads the rest evenly.
+        const bool near = entry.failureDomain == failureDomain;
+        const bool bestNear = best->failureDomain == failureDomain;
+        const bool heavier = rendezvousWeight(failureDomain, entry.entry) > rendezvousWeight(failureDomain, best->entry);
+        if ((near && !bestNear) || (near == bestNear && heavier)) {
+            best = &entry;
+        }
+    }
+    return best == nullptr ? "" : best->entry;
+}
+
+void CellHost::look(TimePoint now)
+{
+    updateRenewals(now);
+    if (m_draining || now - m_startedAt < discoveryTime || !m_mirror.configuration().isReady()) {
+        return;
+    }
+    for (const std::string &failureDomain : m_mirror.fleet().failureDomains()) {
+        lookAt(failureDomain, now);
+    }
+}
+
+void CellHost::lookAt(const std::string &failureDomain, TimePoint now)
+{
+    const CellRow row = m_mirror.cell(failureDomain);
+    const bool isMine = row.entry == m_identity.name && row.incarnation == m_identity.incarnation;
+    Cell *cell = find(failureDomain);
+    if (cell != nullptr && cell->isOwned() && (!isMine || cell->epoch() != row.version)) {
+        Log::warning("cell_lost", {{"cell", failureDomain}});
+        m_counters.add(Counter::CellsLost);
+        cell->disown();
+    }
+    if (m_writing.contains(failureDomain)) {
+        return;
+    }
+    const bool preferred = preferredEntry(failureDomain, now) == m_identity.name;
+    if (isMine) {
+        if (cell == nullptr || !cell->isOwned()) {
+            Log::info("cell_taken", {{"cell", failureDomain}, {"epoch", static_cast<std::int64_t>(row.version)}});
+            m_counters.add(Counter::CellsTaken);
+            findOrMake(failureDomain).own(row.version, now);
+        } else if (!preferred) {
+            release(failureDomain, row);
+        }
+        return;
+    }
+    const bool given = row.entry.empty();
+    const bool ownerGone = !given && !m_peers.isLive(row.entry, row.incarnation, now) && now - m_startedAt >= takeoverAfter;
+    const bool restarted = row.entry == m_identity.name;
+    if (preferred && (given || ownerGone || restarted)) {
+        take(failureDomain, row);
+    }
+}
+
+void CellHost::writeRow(const std::string &failureDomain, const CellRow &row, const std::string &owner, std::function<void()> done)
+{
+    const nlohmann::json json = {{"entry", owner}, {"incarnation", owner.empty() ? 0 : m_identity.incarnation}};
+    TableTransaction transaction;
+    transaction.changeId
+        = m_identity.name + "/" + std::to_string(m_identity.incarnation) + "/" + failureDomain + "/" + std::to_string(row.version);
+    transaction.checks.push_back({cellTable, failureDomain, row.version});
+    transaction.writes.push_back({cellTable, failureDomain, json.dump()});
+    m_writing.insert(failureDomain);
+    m_table.commit(transaction, [this, failureDomain, done = std::move(done)](const CommitResult &) {
+        // Whatever the answer was, the row itself says who owns the cell.
+        m_mirror.refresh([this, failureDomain, done](bool) {
+            m_writing.erase(failureDomain);
+            done();
+        });
+    });
+}
+
+void CellHost::take(const std::string &failureDomain, const CellRow &row)
+{
+    writeRow(failureDomain, row, m_identity.name, [this] {
+        look(EventLoop::now());
+    });
+}
+
+void CellHost::release(const std::string &failureDomain, const CellRow &row)
+{
+    Log::info("cell_released", {{"cell", failureDomain}});
+    find(failureDomain)->disown();
+    ++m_releasing;
+    writeRow(failureDomain, row, "", [this] {
+        --m_releasing;
+    });
+}
+
+void CellHost::drain()
+{
+    m_draining = true;
+    for (std::size_t index = 0; index < m_cells.size(); ++index) {
+        if (m_cells[index]->isOwned()) {
+            release(m_cellNames[index], m_mirror.cell(m_cellNames[index]));
+        }
+    }
+}
+
+void CellHost::updateRenewals(TimePoint now)
+{
+    const bool storeAnswers = now - m_mirror.lastContact() <= contactLimit;
+    const std::vector<PeerHeartbeat> peers = m_peers.live(now);
+    const bool peersKnowNothingNewer = peers.size() >= m_peerCount && std::ranges::all_of(peers, [this](const PeerHeartbeat &peer) {
+                                           return peer.storeVersion <= m_mirror.version();
+                                       });
+    if (storeAnswers || peersKnowNothingNewer) {
+        m_attachedAt = now;
+    }
+    const bool allowed = now - m_attachedAt <= CellTimes().detachedLimit;
+    for (const std::unique_ptr<Cell> &cell : m_cells) {
+        cell->allowRenewals(allowed);
+    }
+}
+
+// ---- events
+
+void CellHost::onRead(const MirrorChange &change, TimePoint now)
+{
+    for (std::size_t index = 0; index < m_cells.size(); ++index) {
+        Cell &cell = *m_cells[index];
+        if (!cell.isOwned()) {
+            continue;
+        }
+        if (std::ranges::find(change.changedCells, m_cellNames[index]) != change.changedCells.end()) {
+            // The workers are numbered anew, so what runs is learned anew.
+            cell.own(cell.epoch(), now);
+        }
+        cell.onJobsRead(m_mirror.version(), now);
+    }
+}
+
+void CellHost::flush()
+{
+    for (const std::unique_ptr<Cell> &cell : m_cells) {
+        for (CellAction &action : cell->takeActions()) {
+            std::visit(
+                [&](auto &item) {
+                    carryOut(*cell, item);
+                },
+                action);
+        }
+    }
+}
+
+void CellHost::carryOut(Cell &cell, SendWorkerMessage &action)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.url = "http://" + action.address + "/v1/messages";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = encodeWorkerMessage(action.message);
+    request.timeoutMilliseconds = workerTimeoutMilliseconds;
+    m_http.send(std::move(request), [this, &cell, worker = action.worker, term = cell.term()](HttpReply reply) {
+        m_loop.post([&cell, worker, term, reply = std::move(reply)] {
+            if (cell.term() != term) {
+                return;
+            }
+            const Result<WorkerReport> report = decodeWorkerReport(reply.body);
+            if (reply.delivery == HttpDelivery::Complete && isOk(report)) {
+                cell.onReport(worker, valueOf(report), EventLoop::now());
+            } else {
+                cell.onSilence(worker, EventLoop::now());
+            }
+        });
+    });
+}
+
+void CellHost::carryOut(Cell &cell, CommitJob &action)
+{
+    m_table.commit(action.transaction, [&cell, job = action.job](const CommitResult &result) {
+        cell.onCommit(job, result, EventLoop::now());
+    });
+}
+
+void CellHost::carryOut(Cell &cell, RefreshJob &action)
+{
+    m_mirror.refresh([&cell, job = action.job](bool available) {
+        cell.onRefresh(job, available, EventLoop::now());
+    });
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/CellHost.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "entry/PeerTable.h"
+#include "entry/StoreMirror.h"
+#include "platform/HttpClient.h"
+#include "schedule/Cell.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Who this entry is.
+struct EntryIdentity {
+    std::string name; ///< Name of the entry.
+    std::uint64_t incarnation = 0; ///< Random number of the process.
+    std::string failureDomain; ///< Failure domain that it runs in.
+    std::string region; ///< Region of the failure domain.
+};
+
+/// Takes and gives up cells, and is the shell of those that this entry owns.
+class CellHost
+{
+public:
+    /// @param identity Who this entry is.
+    /// @param loop Loop to run on.
+    /// @param mirror Copy of the tables.
+    /// @param table Table service.
+    /// @param http HTTP client for the workers.
+    /// @param peers The other entries.
+    /// @param peerCount How many other entries the settings name.
+    /// @param counters Counters.
+    CellHost(EntryIdentity identity, EventLoop &loop, StoreMirror &mirror, TableClient &table, HttpClient &http, const PeerTable &peers,
+             std::size_t peerCount, Counters &counters);
+
+    /// Starts to look after cells.
+    void start();
+
+    /// Takes in a read of the tables.
+    /// @param change What changed.
+    /// @param now Current time.
+    void onRead(const MirrorChange &change, TimePoint now);
+
+    /// Carries out what the cells asked for.
+    void flush();
+
+    /// Gives all cells up and takes none any more.
+    void drain();
+
+    /// @return Whether nothing is owned or being given up.
+    bool mayStop() const
+    {
+        return m_draining && m_releasing == 0;
+    }
+
+    /// @return The cells that this entry has ever owned.
+    const std::vector<std::unique_ptr<Cell>> &cells() const
+    {
+        return m_cells;
+    }
+
+private:
+    void look(TimePoint now);
+    void lookAt(const std::string &failureDomain, TimePoint now);
+    std::string preferredEntry(const std::string &failureDomain, TimePoint now) const;
+    void take(const std::string &failureDomain, const CellRow &row);
+    void release(const std::string &failureDomain, const CellRow &row);
+    void writeRow(const std::string &failureDomain, const CellRow &row, const std::string &owner, std::function<void()> done);
+    void updateRenewals(TimePoint now);
+    Cell *find(const std::string &failureDomain);
+    Cell &findOrMake(const std::string &failureDomain);
+    void carryOut(Cell &cell, SendWorkerMessage &action);
+    void carryOut(Cell &cell, CommitJob &action);
+    void carryOut(Cell &cell, RefreshJob &action);
+
+    EntryIdentity m_identity;
+    EventLoop &m_loop;
+    StoreMirror &m_mirror;
+    TableClient &m_table;
+    HttpClient &m_http;
+    const PeerTable &m_peers;
+    std::size_t m_peerCount;
+    Counters &m_counters;
+    std::vector<std::unique_ptr<Cell>> m_cells;
+    std::vector<std::string> m_cellNames;
+    std::set<std::string> m_writing;
+    TimePoint m_startedAt{};
+    TimePoint m_attachedAt{};
+    std::size_t m_releasing = 0;
+    bool m_draining = false;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/ClaimStore.cpp
@@ -0,0 +1,137 @@
+#include "entry/ClaimStore.h"
+
+#include "core/Log.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr const char *claimTable = "claims";
+constexpr std::size_t largestKeptAnswer = 65536;
+
+std::string rowKey(const KeyClaim &claim)
+{
+    return claim.workspace + "/" + claim.service + "/" + claim.key;
+}
+
+Json claimedRow(const KeyClaim &claim)
+{
+    return {{"holder", claim.holder}, {"body_hash", claim.bodyHash}};
+}
+
+std::string answeredRow(const KeyClaim &claim, const CallerAnswer &answer)
+{
+    Json row = claimedRow(claim);
+    row["status"] = answer.status;
+    row["content_type"] = answer.contentType;
+    // Bodies may be any bytes; JSON carries them as numbers.
+    const std::string &body = *answer.body;
+    row["body"] = Json(std::vector<std::uint8_t>(body.begin(), body.end()));
+    return row.dump();
+}
+
+ClaimResult readAnswer(const Json &row)
+{
+    ClaimResult result;
+    result.state = ClaimState::Answered;
+    result.answer.status = row.value("status", 0);
+    result.answer.contentType = row.value("content_type", "");
+    const auto bytes = row.value("body", std::vector<std::uint8_t>());
+    result.answer.body = std::make_shared<const std::string>(bytes.begin(), bytes.end());
+    return result;
+}
+
+ClaimResult interpret(const std::string &text, const KeyClaim &claim, bool mayBeOwn)
+{
+    const Json row = Json::parse(text, nullptr, false);
+    if (row.is_discarded()) {
+        return {ClaimState::Held, {}};
+    }
+    if (mayBeOwn && row.value("holder", "") == claim.holder) {
+        return {ClaimState::Acquired, {}};
+    }
+    if (row.value("body_hash", std::uint64_t(0)) != claim.bodyHash) {
+        return {ClaimState::OtherBody, {}};
+    }
+    return row.contains("status") ? readAnswer(row) : ClaimResult{ClaimState::Held, {}};
+}
+
+} // namespace
+
+void ClaimStore::claim(const KeyClaim &claim, std::function<void(ClaimResult)> callback)
+{
+    TableTransaction transaction;
+    transaction.changeId = claim.holder + "/claim";
+    transaction.checks.push_back({claimTable, rowKey(claim), 0});
+    transaction.writes.push_back({claimTable, rowKey(claim), claimedRow(claim).dump()});
+    m_table.commit(transaction, [this, claim, callback = std::move(callback)](const CommitResult &result) mutable {
+        switch (result.state) {
+        case CommitState::Committed:
+            callback({ClaimState::Acquired, {}});
+            break;
+        case CommitState::NotSent:
+            callback({ClaimState::StoreUnavailable, {}});
+            break;
+        case CommitState::Conflict:
+            readExisting(claim, false, std::move(callback));
+            break;
+        case CommitState::Unknown:
+            readExisting(claim, true, std::move(callback));
+            break;
+        }
+    });
+}
+
+void ClaimStore::readExisting(const KeyClaim &claim, bool mayBeOwn, std::function<void(ClaimResult)> callback)
+{
+    m_table.read(claimTable, rowKey(claim), [this, claim, mayBeOwn, callback = std::move(callback)](const RowResult &result) {
+        if (!result.available || !result.row) {
+            callback({ClaimState::StoreUnavailable, {}});
+            return;
+        }
+        if (mayBeOwn) {
+            m_counters.add(Counter::StoreUnknownSettled);
+        }
+        callback(interpret(result.row->value, claim, mayBeOwn));
+    });
+}
+
+void ClaimStore::settle(const KeyClaim &claim, const CallerAnswer &answer)
+{
+    if (answer.body && answer.body->size() <= largestKeptAnswer) {
+        rewrite(claim, answeredRow(claim, answer), "/settle");
+    }
+}
+
+void ClaimStore::release(const KeyClaim &claim)
+{
+    rewrite(claim, std::nullopt, "/release");
+}
+
+void ClaimStore::rewrite(const KeyClaim &claim, std::optional<std::string> value, const char *step)
+{
+    m_table.read(claimTable, rowKey(claim), [this, claim, value = std::move(value), step](const RowResult &result) {
+        const bool held = result.row && interpret(result.row->value, claim, true).state == ClaimState::Acquired;
+        if (!held) {
+            return;
+        }
+        TableTransaction transaction;
+        transaction.changeId = claim.holder + step;
+        transaction.checks.push_back({claimTable, rowKey(claim), result.row->version});
+        transaction.writes.push_back({claimTable, rowKey(claim), value});
+        m_table.commit(transaction, [key = rowKey(claim)](const CommitResult &commit) {
+            if (commit.state != CommitState::Committed) {
+                Log::warning("claim_not_rewritten", {{"key", key}});
+            }
+        });
+    });
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/EntryDaemon.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "core/Counters.h"
+#include "entry/CellHost.h"
+#include "entry/ClaimStore.h"
+#include "entry/ConfigurationWriter.h"
+#include "entry/EntryApi.h"
+#include "entry/EntrySettings.h"
+#include "entry/JobService.h"
+#include "entry/PeerTable.h"
+#include "entry/RequestService.h"
+#include "entry/StoreMirror.h"
+#include "http/HttpServer.h"
+#include "platform/EventLoop.h"
+#include "platform/HttpClient.h"
+#include "platform/TableClient.h"
+#include "rpc/RpcNode.h"
+
+namespace banyanlock
+{
+
+/// One entry: callers' and operators' interface, request routing, and the cells that it owns.
+class EntryDaemon
+{
+public:
+    /// @param settings Checked settings.
+    /// @param policy Routing policy that the settings name.
+    EntryDaemon(EntrySettings settings, AnyRoutingPolicy policy);
+
+    /// Runs until a graceful shutdown has ended.
+    /// @return Done, or why it could not start.
+    Result<Done> run();
+
+private:
+    EntryHandlers makeHandlers();
+    void applyConfiguration(TimePoint now);
+    void sendHeartbeats();
+    PeerHeartbeat makeHeartbeat() const;
+    void flush();
+    void shutDown();
+    void stopWhenIdle();
+
+    EntrySettings m_settings;
+    EntryIdentity m_identity;
+    Counters m_counters;
+    EventLoop m_loop;
+    HttpClient m_http;
+    RpcNode m_rpc;
+    TableClient m_table;
+    StoreMirror m_mirror;
+    ConfigurationWriter m_writer;
+    ClaimStore m_claims;
+    RequestService m_requests;
+    JobService m_jobs;
+    PeerTable m_peers;
+    CellHost m_cells;
+    bool m_draining = false;
+    EntryApi m_api;
+    HttpServer m_server;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/JobService.cpp
@@ -0,0 +1,188 @@
+#include "entry/JobService.h"
+
+#include "core/Log.h"
+#include "http/Problem.h"
+#include "schedule/JobCodec.h"
+#include "schedule/JobRouter.h"
+
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr int mostCancelTries = 5;
+constexpr int statusCreated = 201;
+constexpr int statusAccepted = 202;
+constexpr int statusOk = 200;
+
+std::uint64_t wallClockMilliseconds()
+{
+    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
+}
+
+} // namespace
+
+JobService::JobService(StoreMirror &mirror, TableClient &table, std::string entry, std::uint64_t incarnation)
+    : m_mirror(mirror)
+    , m_table(table)
+    , m_entry(std::move(entry))
+    , m_incarnation(incarnation)
+{
+}
+
+Result<JobRecord> JobService::makeRecord(const std::string &body)
+{
+    if (!m_mirror.configuration().isReady()) {
+        return Error{ResultCode::ConfigurationNotReady, ""};
+    }
+    Result<JobSpec> spec = decodeJobSpec(body);
+    if (!isOk(spec)) {
+        return errorOf(spec);
+    }
+    JobRecord record;
+    record.spec = std::move(valueOf(spec));
+    const ContractRecord *contract = m_mirror.configuration().findContract(record.spec.workspace);
+    if (contract == nullptr) {
+        return Error{ResultCode::UnknownWorkspace, "workspace " + record.spec.workspace + " has no contract"};
+    }
+    if (totalAccelerators(record.spec) > contract->contract.limits.accelerators) {
+        return Error{ResultCode::AcceleratorLimit,
+                     "the gang takes " + std::to_string(totalAccelerators(record.spec)) + ", the limit is "
+                         + std::to_string(contract->contract.limits.accelerators)};
+    }
+    const JobRouter router(m_mirror.fleet(), m_mirror.configuration(), m_mirror.plan(), m_mirror.jobs());
+    const std::optional<std::string> cell = router.choose(record.spec, "");
+    if (!cell) {
+        return Error{ResultCode::JobNeverFits, "no failure domain has workers for this shape and adjacency"};
+    }
+    char id[48];
+    std::snprintf(id, sizeof(id), "%08llx-%llu", static_cast<unsigned long long>(m_incarnation >> 32U),
+                  static_cast<unsigned long long>(m_nextJob++));
+    record.id = id;
+    record.cell = *cell;
+    record.submitted = wallClockMilliseconds();
+    record.reason = "submitted";
+    return record;
+}
+
+void JobService::respondWithJob(const JobRecord &record, int status, const HttpServer::Responder &respond)
+{
+    ServerResponse response = jsonResponse(encodeJobRecord(record));
+    response.status = status;
+    respond(std::move(response));
+}
+
+void JobService::submit(const ServerRequest &request, HttpServer::Responder respond)
+{
+    Result<JobRecord> made = makeRecord(request.body);
+    if (!isOk(made)) {
+        respond(problemResponse(errorOf(made)));
+        return;
+    }
+    JobRecord record = std::move(valueOf(made));
+    TableTransaction transaction;
+    transaction.changeId = m_entry + "/" + record.id + "/submit";
+    transaction.checks.push_back({jobTable, record.id, 0});
+    transaction.writes.push_back({jobTable, record.id, encodeJobRecord(record)});
+    m_table.commit(transaction, [this, record, respond = std::move(respond)](const CommitResult &result) {
+        if (result.state == CommitState::Committed) {
+            Log::info("job_submitted", {{"job", record.id}, {"workspace", record.spec.workspace}, {"cell", record.cell}});
+            m_mirror.refresh({});
+            respondWithJob(record, statusCreated, respond);
+        } else if (result.state == CommitState::Unknown) {
+            settleSubmission(record, respond);
+        } else {
+            respond(problemResponse({ResultCode::StoreUnavailable, ""}));
+        }
+    });
+}
+
+void JobService::settleSubmission(const JobRecord &record, const HttpServer::Responder &respond)
+{
+    m_table.read(jobTable, record.id, [record, respond](const RowResult &result) {
+        if (result.available && result.row) {
+            respondWithJob(record, statusCreated, respond);
+            return;
+        }
+        // The write may still be on its way, so even an absent row proves nothing.
+        respond(problemResponse({ResultCode::StoreOutcomeUnknown, "job " + record.id + " may have been recorded"}));
+    });
+}
+
+void JobService::list(const ServerRequest &request, const HttpServer::Responder &respond) const
+{
+    const std::string workspace = request.parameter("workspace");
+    const std::string state = request.parameter("state");
+    std::string text = "{\"jobs\":[";
+    bool first = true;
+    for (const auto &[id, record] : m_mirror.jobs().records()) {
+        const bool wanted
+            = (workspace.empty() || record.spec.workspace == workspace) && (state.empty() || state == jobStateName(record.state));
+        if (wanted) {
+            text += (first ? "" : ",") + encodeJobRecord(record);
+            first = false;
+        }
+    }
+    respond(jsonResponse(text + "]}"));
+}
+
+void JobService::show(const std::string &id, const HttpServer::Responder &respond) const
+{
+    const JobRecord *record = m_mirror.jobs().find(id);
+    if (record == nullptr) {
+        respond(problemResponse({ResultCode::UnknownJob, "job " + id}));
+        return;
+    }
+    respondWithJob(*record, statusOk, respond);
+}
+
+void JobService::cancel(const std::string &id, HttpServer::Responder respond)
+{
+    tryCancel(id, 0, std::move(respond));
+}
+
+void JobService::tryCancel(const std::string &id, int tries, HttpServer::Responder respond)
+{
+    const JobRecord *known = m_mirror.jobs().find(id);
+    if (known == nullptr || (hasEnded(known->state) && known->state != JobState::Cancelled)) {
+        const ResultCode code = known == nullptr ? ResultCode::UnknownJob : ResultCode::JobAlreadyEnded;
+        respond(problemResponse({code, "job " + id}));
+        return;
+    }
+    if (known->state == JobState::Cancelled || known->cancelRequested) {
+        respondWithJob(*known, statusAccepted, respond);
+        return;
+    }
+    JobRecord next = *known;
+    next.cancelRequested = true;
+    if (next.state == JobState::Queued) {
+        next.state = JobState::Cancelled;
+        next.reason = "cancelled";
+    }
+    TableTransaction transaction;
+    transaction.changeId = m_entry + "/" + id + "/cancel";
+    transaction.checks.push_back({jobTable, id, known->version});
+    transaction.writes.push_back({jobTable, id, encodeJobRecord(next)});
+    m_table.commit(transaction, [this, id, tries, respond = std::move(respond)](const CommitResult &result) {
+        if (result.state == CommitState::NotSent || tries >= mostCancelTries) {
+            const bool notRun = result.state == CommitState::NotSent && tries == 0;
+            respond(problemResponse({notRun ? ResultCode::StoreUnavailable : ResultCode::StoreOutcomeUnknown, ""}));
+            return;
+        }
+        // The row says what took effect; a conflict means that it moved on and the cancellation is tried on the new version.
+        m_mirror.refresh([this, id, tries, respond](bool available) {
+            if (available) {
+                tryCancel(id, tries + 1, respond);
+            } else {
+                respond(problemResponse({ResultCode::StoreOutcomeUnknown, ""}));
+            }
+        });
+    });
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/RequestService.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include "core/Counters.h"
+#include "dispatch/RequestPipeline.h"
+#include "entry/ClaimStore.h"
+#include "entry/EntrySettings.h"
+#include "http/HttpServer.h"
+#include "platform/EventLoop.h"
+#include "rpc/RpcNode.h"
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+
+namespace banyanlock
+{
+
+/// Shell of the request pipeline: callers over HTTP on one side, agents over RPC on the other.
+class RequestService
+{
+public:
+    /// @param settings Settings of the entry.
+    /// @param incarnation Process of the entry.
+    /// @param policy Routing policy.
+    /// @param loop Loop to run on.
+    /// @param rpc Calls to agents.
+    /// @param claims Idempotency keys.
+    /// @param counters Counters.
+    RequestService(const EntrySettings &settings, std::uint64_t incarnation, AnyRoutingPolicy policy, EventLoop &loop, RpcNode &rpc,
+                   ClaimStore &claims, Counters &counters);
+
+    /// Handles `POST /v1/services/{service}/requests`.
+    /// @param service Service from the path.
+    /// @param request The request.
+    /// @param respond Answers it.
+    void handle(const std::string &service, const ServerRequest &request, HttpServer::Responder respond);
+
+    /// Carries out what the pipeline asked for.
+    void flush();
+
+    /// @return The pipeline.
+    RequestPipeline &pipeline()
+    {
+        return m_pipeline;
+    }
+
+private:
+    Result<CallerRequest> parse(const std::string &service, const ServerRequest &request) const;
+    void carryOut(SendAttempt &action);
+    void carryOut(SendRevocation &action);
+    void carryOut(AnswerCaller &action);
+    void carryOut(ClaimKey &action);
+    void carryOut(SettleClaim &action);
+    void carryOut(ReleaseClaim &action);
+
+    const EntrySettings &m_settings;
+    EventLoop &m_loop;
+    RpcNode &m_rpc;
+    ClaimStore &m_claims;
+    Counters &m_counters;
+    RequestPipeline m_pipeline;
+    std::unordered_map<RequestHandle, HttpServer::Responder> m_responders;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/entry/StoreMirror.cpp
@@ -0,0 +1,167 @@
+#include "entry/StoreMirror.h"
+
+#include "core/Log.h"
+#include "schedule/JobCodec.h"
+#include "schedule/WorkerCodec.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr const char *cellTable = "cells";
+
+} // namespace
+
+StoreMirror::StoreMirror(EventLoop &loop, TableClient &table, Counters &counters, Duration pollInterval)
+    : m_loop(loop)
+    , m_table(table)
+    , m_counters(counters)
+    , m_pollInterval(pollInterval)
+    , m_configuration(counters)
+    , m_plan(m_fleet, {}, {})
+{
+}
+
+void StoreMirror::start()
+{
+    poll();
+    m_loop.repeat(m_pollInterval, [this](TimePoint) {
+        poll();
+    });
+}
+
+void StoreMirror::refresh(std::function<void(bool)> done)
+{
+    if (done) {
+        m_waiting.push_back(std::move(done));
+    }
+    m_readAgain = m_reading;
+    poll();
+}
+
+void StoreMirror::poll()
+{
+    if (m_reading) {
+        return;
+    }
+    m_reading = true;
+    m_table.scan({ConfigurationRows::table, jobTable, cellTable, workerTable}, m_version, [this](const ScanResult &result) {
+        onScan(result);
+    });
+}
+
+void StoreMirror::onScan(const ScanResult &result)
+{
+    m_reading = false;
+    if (result.available) {
+        m_lastContact = EventLoop::now();
+    }
+    if (result.available && result.version < m_version) {
+        m_counters.add(Counter::ConfigurationStaleIgnored);
+    } else if (result.available) {
+        m_version = result.version;
+        MirrorChange change;
+        adoptRows(result.rows, change);
+        if (change.fleet || change.configuration) {
+            replan(change.fleet);
+        }
+        if (m_onRead) {
+            m_onRead(change, EventLoop::now());
+        }
+    }
+    if (std::exchange(m_readAgain, false)) {
+        poll();
+        return;
+    }
+    for (const auto &done : std::exchange(m_waiting, {})) {
+        done(result.available);
+    }
+}
+
+void StoreMirror::adoptRows(const std::vector<TableRow> &rows, MirrorChange &change)
+{
+    change.configuration = m_configuration.adopt(rows);
+    for (const TableRow &row : rows) {
+        if (row.table == ConfigurationRows::table && row.key == ConfigurationRows::versionKey) {
+            m_configurationVersionRow = row;
+        } else if (row.table == jobTable) {
+            adoptJobRow(row);
+        } else if (row.table == cellTable) {
+            adoptCell(row);
+        } else if (row.table == workerTable) {
+            adoptWorker(row, change);
+        }
+    }
+}
+
+void StoreMirror::adoptJobRow(const TableRow &row)
+{
+    Result<JobRecord> record = decodeJobRecord(row);
+    if (!isOk(record)) {
+        Log::warning("job_row_unreadable", {{"job", row.key}, {"detail", errorOf(record).detail}});
+        return;
+    }
+    m_jobs.adopt(std::move(valueOf(record)));
+}
+
+void StoreMirror::adoptWorker(const TableRow &row, MirrorChange &change)
+{
+    const Result<WorkerInfo> worker = decodeWorkerInfo(row.value);
+    if (!isOk(worker)) {
+        Log::warning("worker_row_unreadable", {{"worker", row.key}, {"detail", errorOf(worker).detail}});
+        return;
+    }
+    m_workers[row.key] = valueOf(worker);
+    change.fleet = true;
+    change.changedCells.push_back(valueOf(worker).failureDomain);
+}
+
+void StoreMirror::adoptCell(const TableRow &row)
+{
+    CellRow &known = m_cells[row.key];
+    const nlohmann::json json = nlohmann::json::parse(row.value, nullptr, false);
+    if (json.is_discarded() || row.version <= known.version) {
+        return;
+    }
+    known = {json.value("entry", ""), json.value("incarnation", std::uint64_t(0)), row.version};
+}
+
+std::vector<Contract> StoreMirror::contracts() const
+{
+    std::vector<Contract> contracts;
+    for (const ContractRecord &record : m_configuration.contracts()) {
+        contracts.push_back(record.contract);
+    }
+    return contracts;
+}
+
+void StoreMirror::replan(bool fleetChanged)
+{
+    if (fleetChanged) {
+        std::vector<WorkerInfo> workers;
+        for (const auto &[name, worker] : m_workers) {
+            workers.push_back(worker);
+        }
+        m_fleet = Fleet(std::move(workers));
+    }
+    const std::vector<std::string> out = m_configuration.outDomains();
+    m_plan = ReservationPlan(m_fleet, contracts(), out);
+    for (const Shortfall &shortfall : m_plan.shortfalls()) {
+        m_counters.add(Counter::GuaranteeShortfalls);
+        Log::warning(
+            "guarantee_shortfall",
+            {{"workspace", shortfall.workspace}, {"shape", std::int64_t(shortfall.shape)}, {"missing", std::int64_t(shortfall.missing)}});
+    }
+}
+
+CellRow StoreMirror::cell(const std::string &failureDomain) const
+{
+    const auto known = m_cells.find(failureDomain);
+    return known == m_cells.end() ? CellRow() : known->second;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/http/HttpServer.cpp
@@ -0,0 +1,169 @@
+#include "http/HttpServer.h"
+
+#include <algorithm>
+#include <restinio/all.hpp>
+#include <strings.h>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+struct ServerTraits : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming): the library names it
+};
+
+ServerRequest readRequest(const restinio::request_handle_t &handle)
+{
+    ServerRequest request;
+    request.method = handle->header().method().c_str();
+    const restinio::string_view_t path = handle->header().path();
+    const restinio::string_view_t query = handle->header().query();
+    request.path.assign(path.data(), path.size());
+    request.query.assign(query.data(), query.size());
+    handle->header().for_each_field([&](const restinio::http_header_field_t &field) {
+        request.headers.push_back({field.name(), field.value()});
+    });
+    request.body = handle->body();
+    return request;
+}
+
+void writeResponse(const restinio::request_handle_t &handle, const ServerResponse &response)
+{
+    const auto code = static_cast<std::uint16_t>(response.status);
+    auto builder = handle->create_response(restinio::http_status_line_t{restinio::http_status_code_t{code}, "-"});
+    if (response.closeConnection || response.truncateBody) {
+        builder.connection_close();
+    }
+    if (!response.contentType.empty()) {
+        builder.append_header(restinio::http_field::content_type, response.contentType);
+    }
+    for (const HttpHeader &header : response.headers) {
+        builder.append_header(header.name, header.value);
+    }
+    if (response.body) {
+        builder.set_body(*response.body);
+    }
+    builder.done();
+}
+
+void writeTruncated(const restinio::request_handle_t &handle, const ServerResponse &response)
+{
+    const std::string body = response.body ? *response.body : "";
+    auto builder = handle->create_response<restinio::user_controlled_output_t>(restinio::status_ok());
+    builder.set_content_length(body.size() + 1);
+    builder.connection_close();
+    builder.append_header(restinio::http_field::content_type, response.contentType);
+    builder.append_body(body);
+    builder.done();
+}
+
+} // namespace
+
+std::optional<std::string> ServerRequest::header(std::string_view name) const
+{
+    const auto found = std::ranges::find_if(headers, [&](const HttpHeader &header) {
+        return header.name.size() == name.size() && strncasecmp(header.name.data(), name.data(), name.size()) == 0;
+    });
+    return found == headers.end() ? std::nullopt : std::optional(found->value);
+}
+
+std::string ServerRequest::parameter(std::string_view name) const
+{
+    const auto parsed = restinio::try_parse_query<restinio::parse_query_traits::restinio_defaults>(query);
+    if (!parsed || !parsed->has(restinio::string_view_t(name.data(), name.size()))) {
+        return {};
+    }
+    const restinio::string_view_t value = (*parsed)[restinio::string_view_t(name.data(), name.size())];
+    return {value.data(), value.size()};
+}
+
+/// RESTinio's server.
+class HttpServer::Impl
+{
+public:
+    Impl(EventLoop &loop, HttpServerLimits limits, Handler handler)
+        : m_loop(loop)
+        , m_limits(limits)
+        , m_handler(std::move(handler))
+    {
+    }
+
+    void listen(const Endpoint &endpoint)
+    {
+        using Server = restinio::http_server_t<ServerTraits>;
+        m_server = std::make_unique<Server>(restinio::external_io_context(m_loop.context()), [&](auto &settings) {
+            settings.address(endpoint.address)
+                .port(endpoint.port)
+                .read_next_http_message_timelimit(m_limits.headerTimeout)
+                .handle_request_timeout(m_limits.requestTimeout)
+                .write_http_response_timelimit(std::chrono::seconds(30))
+                .max_parallel_connections(m_limits.connections)
+                .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
+                                              .max_url_size(8192)
+                                              .max_field_name_size(256)
+                                              .max_field_value_size(8192)
+                                              .max_field_count(100)
+                                              .max_body_size(m_limits.bodyBytes))
+                .socket_options_setter([](auto &options) {
+                    options.set_option(asio::ip::tcp::no_delay{true});
+                })
+                .request_handler([this](const restinio::request_handle_t &handle) {
+                    return serveOne(handle);
+                });
+        });
+        m_server->open_sync();
+    }
+
+    void close()
+    {
+        if (m_server) {
+            m_server->close_sync();
+        }
+    }
+
+private:
+    restinio::request_handling_status_t serveOne(const restinio::request_handle_t &handle)
+    {
+        m_loop.runEvent([&] {
+            m_handler(readRequest(handle), [handle](const ServerResponse &response) {
+                if (response.truncateBody) {
+                    writeTruncated(handle, response);
+                } else {
+                    writeResponse(handle, response);
+                }
+            });
+        });
+        return restinio::request_accepted();
+    }
+
+    EventLoop &m_loop;
+    HttpServerLimits m_limits;
+    Handler m_handler;
+    std::unique_ptr<restinio::http_server_t<ServerTraits>> m_server;
+};
+
+HttpServer::HttpServer(EventLoop &loop, HttpServerLimits limits, Handler handler)
+    : m_impl(std::make_unique<Impl>(loop, limits, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer() = default;
+
+Result<Done> HttpServer::listen(const Endpoint &endpoint)
+{
+    try {
+        m_impl->listen(endpoint);
+        return Done();
+    } catch (const std::exception &error) {
+        return Error{ResultCode::InvalidSettings, "can't listen on " + endpoint.toString() + ": " + error.what()};
+    }
+}
+
+void HttpServer::stopListening()
+{
+    m_impl->close();
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/placement/GangPlacer.cpp
@@ -0,0 +1,161 @@
+#include "placement/GangPlacer.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <vector>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::uint32_t preferredBonus = 64; // outweighs any leftover on one worker
+constexpr double rackWeight = 0.01;
+
+std::uint32_t countOf(AcceleratorMask mask)
+{
+    return static_cast<std::uint32_t>(std::popcount(mask));
+}
+
+/// How many tasks of the shape a worker holds.
+std::uint32_t taskCapacity(const GangShape &shape, const WorkerView &worker)
+{
+    std::uint32_t capacity = shape.tasks;
+    if (shape.accelerators > 0) {
+        capacity = std::min(capacity, countOf(worker.usable) / shape.accelerators);
+    }
+    if (shape.processors > 0) {
+        capacity = std::min(capacity, worker.processors / shape.processors);
+    }
+    if (shape.memoryMegabytes > 0) {
+        capacity = std::min(capacity, worker.memoryMegabytes / shape.memoryMegabytes);
+    }
+    return capacity;
+}
+
+struct Candidate {
+    std::uint32_t worker = 0;
+    std::uint32_t capacity = 0;
+    double cost = 0;
+};
+
+struct GroupPlacement {
+    std::vector<Candidate> chosen;
+    double cost = 0;
+};
+
+double workerCost(const GangShape &shape, const WorkerView &worker, std::uint32_t tasks)
+{
+    const std::uint32_t taken = tasks * shape.accelerators;
+    const std::uint32_t preferred = std::min(taken, countOf(worker.preferred));
+    const auto leftover = static_cast<double>(countOf(worker.usable) - taken);
+    return leftover - static_cast<double>(preferred) * preferredBonus;
+}
+
+/// Chooses workers of one adjacency group; `first` is the index of its first worker.
+std::optional<GroupPlacement> placeInGroup(const GangShape &shape, std::span<const WorkerView> group, std::uint32_t first,
+                                           PlacementOrder order)
+{
+    std::vector<Candidate> candidates;
+    std::uint32_t total = 0;
+    std::uint32_t usable = 0;
+    for (std::uint32_t index = 0; index < group.size(); ++index) {
+        const std::uint32_t capacity = taskCapacity(shape, group[index]);
+        usable += countOf(group[index].usable);
+        if (capacity > 0) {
+            candidates.push_back({first + index, capacity, workerCost(shape, group[index], capacity)});
+            total += capacity;
+        }
+    }
+    if (total < shape.tasks) {
+        return std::nullopt;
+    }
+    if (order == PlacementOrder::BestFit) {
+        std::ranges::stable_sort(candidates, {}, &Candidate::cost);
+    }
+    GroupPlacement placement;
+    std::uint32_t missing = shape.tasks;
+    for (Candidate &candidate : candidates) {
+        if (missing == 0) {
+            break;
+        }
+        candidate.capacity = std::min(candidate.capacity, missing);
+        missing -= candidate.capacity;
+        placement.cost += workerCost(shape, group[candidate.worker - first], candidate.capacity);
+        placement.chosen.push_back(candidate);
+    }
+    // Among groups that fit alike, the one with the least room keeps the larger ones whole.
+    placement.cost += rackWeight * usable;
+    return placement;
+}
+
+AcceleratorMask takeAccelerators(const WorkerView &worker, AcceleratorMask taken, std::uint32_t count)
+{
+    const AcceleratorMask free = worker.usable & ~taken;
+    const AcceleratorMask preferred = free & worker.preferred;
+    const std::uint32_t fromPreferred = std::min(count, countOf(preferred));
+    AcceleratorMask mask = lowestAccelerators(preferred, fromPreferred);
+    mask |= lowestAccelerators(free & ~mask & ~preferred, count - fromPreferred);
+    BANYANLOCK_ASSERT(countOf(mask) == count);
+    return mask;
+}
+
+GangPlacement assignAccelerators(const GangShape &shape, std::span<const WorkerView> workers, const GroupPlacement &group)
+{
+    GangPlacement placement;
+    placement.reserve(shape.tasks);
+    for (const Candidate &candidate : group.chosen) {
+        AcceleratorMask taken = 0;
+        for (std::uint32_t task = 0; task < candidate.capacity; ++task) {
+            const AcceleratorMask mask = takeAccelerators(workers[candidate.worker], taken, shape.accelerators);
+            taken |= mask;
+            placement.push_back({candidate.worker, mask});
+        }
+    }
+    BANYANLOCK_ASSERT(placement.size() == shape.tasks);
+    return placement;
+}
+
+/// Index after the last worker of the group that starts at `first`.
+std::size_t groupEnd(std::span<const WorkerView> workers, std::size_t first, Adjacency adjacency)
+{
+    if (adjacency == Adjacency::FailureDomain) {
+        return workers.size();
+    }
+    if (adjacency == Adjacency::Worker) {
+        return first + 1;
+    }
+    std::size_t end = first;
+    while (end < workers.size() && workers[end].rack == workers[first].rack) {
+        ++end;
+    }
+    return end;
+}
+
+} // namespace
+
+std::optional<GangPlacement> GangPlacer::place(const GangShape &shape, std::span<const WorkerView> workers) const
+{
+    std::optional<GroupPlacement> best;
+    for (std::size_t first = 0; first < workers.size();) {
+        const std::size_t end = groupEnd(workers, first, shape.adjacency);
+        const auto group = workers.subspan(first, end - first);
+        std::optional<GroupPlacement> placement = placeInGroup(shape, group, static_cast<std::uint32_t>(first), m_order);
+        first = end;
+        if (placement && (!best || placement->cost < best->cost)) {
+            best = std::move(placement);
+            if (m_order == PlacementOrder::FirstFit) {
+                break;
+            }
+        }
+    }
+    if (!best) {
+        return std::nullopt;
+    }
+    return assignAccelerators(shape, workers, *best);
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/placement/ReservationPlan.cpp
@@ -0,0 +1,212 @@
+#include "placement/ReservationPlan.h"
+
+#include "core/Assert.h"
+#include "placement/GangPlacer.h"
+
+#include <algorithm>
+#include <bit>
+#include <optional>
+
+namespace banyanlock
+{
+namespace
+{
+
+/// One guaranteed shape of one contract, to be packed `count` times.
+struct PackItem {
+    std::uint32_t workspace = 0;
+    std::uint32_t shape = 0;
+    const GuaranteedShape *guaranteed = nullptr;
+    bool survives = false;
+};
+
+/// Shapes that survive a loss first, then the hardest to place: nearest adjacency on the most accelerators.
+bool packsBefore(const PackItem &left, const PackItem &right)
+{
+    if (left.survives != right.survives) {
+        return left.survives;
+    }
+    const std::uint32_t leftSize = left.guaranteed->workers * left.guaranteed->acceleratorsPerWorker;
+    const std::uint32_t rightSize = right.guaranteed->workers * right.guaranteed->acceleratorsPerWorker;
+    if (leftSize != rightSize) {
+        return leftSize > rightSize;
+    }
+    return left.guaranteed->adjacency > right.guaranteed->adjacency;
+}
+
+std::vector<PackItem> packingOrder(std::span<const Contract> contracts)
+{
+    std::vector<PackItem> items;
+    for (std::uint32_t workspace = 0; workspace < contracts.size(); ++workspace) {
+        const Contract &contract = contracts[workspace];
+        for (std::uint32_t shape = 0; shape < contract.guarantees.size(); ++shape) {
+            items.push_back({workspace, shape, &contract.guarantees[shape], contract.surviveFailureDomainLoss});
+        }
+    }
+    std::ranges::stable_sort(items, packsBefore);
+    return items;
+}
+
+/// The workers of one failure domain during packing.
+struct DomainSpace {
+    std::uint32_t firstWorker = 0;
+    std::vector<WorkerView> views;
+};
+
+std::vector<DomainSpace> makeSpaces(const Fleet &fleet, std::span<const std::string> outDomains)
+{
+    std::vector<DomainSpace> spaces;
+    const auto workers = fleet.workers();
+    for (std::uint32_t index = 0; index < workers.size(); ++index) {
+        const WorkerInfo &worker = workers[index];
+        if (std::ranges::find(outDomains, worker.failureDomain) != outDomains.end()) {
+            continue;
+        }
+        const bool sameDomain = index > 0 && !spaces.empty() && workers[index - 1].failureDomain == worker.failureDomain;
+        if (!sameDomain) {
+            spaces.push_back({index, {}});
+        }
+        std::vector<WorkerView> &views = spaces.back().views;
+        const bool sameRack = !views.empty() && workers[index - 1].rack == worker.rack;
+        const std::uint32_t rack = views.empty() ? 0 : views.back().rack + (sameRack ? 0 : 1);
+        // One task of a guaranteed shape takes one worker's part, so the worker counts as one processor.
+        views.push_back({rack, allAccelerators(worker), 0, worker.accelerators, 1, 0});
+    }
+    return spaces;
+}
+
+std::uint32_t freeAccelerators(const DomainSpace &space)
+{
+    std::uint32_t total = 0;
+    for (const WorkerView &view : space.views) {
+        total += static_cast<std::uint32_t>(std::popcount(view.usable));
+    }
+    return total;
+}
+
+/// Places one shape in the failure domain with the most room, which spreads the guarantees over the failure domains.
+std::optional<std::vector<ReservedSlice>> packOne(const GuaranteedShape &shape, std::vector<DomainSpace> &spaces)
+{
+    const GangShape gang{shape.workers, shape.acceleratorsPerWorker, 1, 0, shape.adjacency};
+    std::vector<std::uint32_t> order(spaces.size());
+    for (std::uint32_t index = 0; index < order.size(); ++index) {
+        order[index] = index;
+    }
+    std::ranges::stable_sort(order, [&](std::uint32_t left, std::uint32_t right) {
+        return freeAccelerators(spaces[left]) > freeAccelerators(spaces[right]);
+    });
+    for (const std::uint32_t index : order) {
+        DomainSpace &space = spaces[index];
+        const std::optional<GangPlacement> placement = GangPlacer().place(gang, space.views);
+        if (!placement) {
+            continue;
+        }
+        std::vector<ReservedSlice> slices;
+        for (const TaskPlacement &task : *placement) {
+            space.views[task.worker].usable &= ~task.accelerators;
+            slices.push_back({space.firstWorker + task.worker, task.accelerators});
+        }
+        return slices;
+    }
+    return std::nullopt;
+}
+
+bool hasShape(const Reservation &reservation, const GuaranteedShape &shape, const Fleet &fleet)
+{
+    if (reservation.slices.size() != shape.workers) {
+        return false;
+    }
+    const WorkerInfo &first = fleet.workers()[reservation.slices.front().worker];
+    return std::ranges::all_of(reservation.slices, [&](const ReservedSlice &slice) {
+        const WorkerInfo &worker = fleet.workers()[slice.worker];
+        const bool rightSize = static_cast<std::uint32_t>(std::popcount(slice.accelerators)) == shape.acceleratorsPerWorker;
+        const bool rightPlace
+            = worker.failureDomain == first.failureDomain && (shape.adjacency != Adjacency::Rack || worker.rack == first.rack);
+        return rightSize && rightPlace;
+    });
+}
+
+} // namespace
+
+ReservationPlan::ReservationPlan(const Fleet &fleet, std::span<const Contract> contracts, std::span<const std::string> outDomains)
+    : m_reserved(fleet.workers().size(), 0)
+{
+    for (const Contract &contract : contracts) {
+        m_workspaces.push_back(contract.workspace);
+    }
+    std::vector<DomainSpace> spaces = makeSpaces(fleet, outDomains);
+    for (const PackItem &item : packingOrder(contracts)) {
+        for (std::uint32_t instance = 0; instance < item.guaranteed->count; ++instance) {
+            std::optional<std::vector<ReservedSlice>> slices = packOne(*item.guaranteed, spaces);
+            if (!slices) {
+                m_shortfalls.push_back({m_workspaces[item.workspace], item.shape, item.guaranteed->count - instance});
+                break;
+            }
+            for (const ReservedSlice &slice : *slices) {
+                BANYANLOCK_ASSERT((m_reserved[slice.worker] & slice.accelerators) == 0);
+                m_reserved[slice.worker] |= slice.accelerators;
+            }
+            m_reservations.push_back({item.workspace, item.shape, std::move(*slices)});
+        }
+    }
+    BANYANLOCK_ASSERT(isSound(fleet, contracts));
+}
+
+AcceleratorMask ReservationPlan::reservedFor(std::uint32_t worker, std::string_view workspace) const
+{
+    AcceleratorMask mask = 0;
+    for (const Reservation &reservation : m_reservations) {
+        if (m_workspaces[reservation.workspace] != workspace) {
+            continue;
+        }
+        for (const ReservedSlice &slice : reservation.slices) {
+            mask |= slice.worker == worker ? slice.accelerators : 0;
+        }
+    }
+    return mask;
+}
+
+bool ReservationPlan::isSound(const Fleet &fleet, std::span<const Contract> contracts) const
+{
+    std::vector<AcceleratorMask> taken(fleet.workers().size(), 0);
+    for (const Reservation &reservation : m_reservations) {
+        if (!hasShape(reservation, contracts[reservation.workspace].guarantees[reservation.shape], fleet)) {
+            return false;
+        }
+        for (const ReservedSlice &slice : reservation.slices) {
+            const bool inside = (slice.accelerators & ~allAccelerators(fleet.workers()[slice.worker])) == 0;
+            if (!inside || (taken[slice.worker] & slice.accelerators) != 0) {
+                return false;
+            }
+            taken[slice.worker] |= slice.accelerators;
+        }
+    }
+    return true;
+}
+
+std::string findGuaranteeFault(const Fleet &fleet, std::span<const Contract> contracts)
+{
+    const auto describe = [](const ReservationPlan &plan, const std::string &where) {
+        const Shortfall &first = plan.shortfalls().front();
+        return "guarantees[" + std::to_string(first.shape) + "] of workspace " + first.workspace + ": " + std::to_string(first.missing)
+            + " of the shape have no room" + where;
+    };
+    const ReservationPlan whole(fleet, contracts, {});
+    if (!whole.shortfalls().empty()) {
+        return describe(whole, "");
+    }
+    std::vector<Contract> surviving;
+    std::ranges::copy_if(contracts, std::back_inserter(surviving), &Contract::surviveFailureDomainLoss);
+    if (surviving.empty()) {
+        return {};
+    }
+    for (const std::string &lost : fleet.failureDomains()) {
+        const ReservationPlan reduced(fleet, surviving, {&lost, 1});
+        if (!reduced.shortfalls().empty()) {
+            return describe(reduced, " with failure domain " + lost + " gone");
+        }
+    }
+    return {};
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/program/Commands.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "program/CommandContext.h"
+#include "program/ExitCode.h"
+
+#include <span>
+#include <string_view>
+
+namespace banyanlock
+{
+
+/// One command of the command line.
+struct Command {
+    std::string_view name; ///< Words that name it.
+    std::string_view meaning; ///< One line for the help text.
+    ExitCode (*run)(const CommandContext &); ///< Runs it.
+};
+
+/// @return Commands that run daemons and check settings.
+std::span<const Command> daemonCommands();
+
+/// @return Commands on contracts, failure domains and status.
+std::span<const Command> operatorCommands();
+
+/// @return Commands on requests and jobs.
+std::span<const Command> workCommands();
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/Cell.cpp
@@ -0,0 +1,223 @@
+#include "schedule/Cell.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr Duration stepDelay = fromMilliseconds(5); // events that come together share a step
+constexpr Duration idleStep = fromMilliseconds(200);
+
+} // namespace
+
+Cell::Cell(std::string failureDomain, std::string entry, CellContext context, CellPolicy policy, CellTimes times)
+    : m_failureDomain(std::move(failureDomain))
+    , m_entry(std::move(entry))
+    , m_context(context)
+    , m_policy(policy)
+    , m_times(times)
+    , m_planner(policy.order, policy.respectReservations)
+    , m_workers(times, context.counters)
+{
+}
+
+Cell::~Cell()
+{
+    m_context.timers.cancel(m_timer);
+}
+
+void Cell::own(std::uint64_t epoch, TimePoint now)
+{
+    BANYANLOCK_ASSERT(epoch >= m_epoch);
+    m_epoch = epoch;
+    m_learned = false;
+    m_gangs.clear();
+    m_firstSeen.clear();
+    ++m_term;
+    m_workers.reset(m_context.fleet.workersOf(m_failureDomain), now);
+    m_nextStep = now + idleStep;
+    wake(now);
+}
+
+void Cell::disown()
+{
+    m_epoch = 0;
+    m_learned = false;
+    m_gangs.clear();
+    m_actions.clear();
+    m_context.timers.cancel(m_timer);
+}
+
+void Cell::onJobsRead(std::uint64_t version, TimePoint now)
+{
+    m_jobsReadVersion = std::max(m_jobsReadVersion, version);
+    wake(now);
+}
+
+void Cell::onReport(const std::string &worker, const WorkerReport &report, TimePoint now)
+{
+    const std::uint32_t index = m_workers.indexOf(worker);
+    if (!isOwned() || index == m_workers.all().size()) {
+        return;
+    }
+    if (report.highestEpoch > m_epoch) {
+        // Another entry has taken the cell; the row will say so too.
+        m_context.counters.add(Counter::CellsLost);
+        disown();
+        return;
+    }
+    m_workers.onReport(index, report, now);
+    wake(now);
+}
+
+void Cell::onSilence(const std::string &worker, TimePoint now)
+{
+    const std::uint32_t index = m_workers.indexOf(worker);
+    if (!isOwned() || index == m_workers.all().size()) {
+        return;
+    }
+    m_context.counters.add(Counter::WorkerFailures);
+    m_workers.onSilence(index);
+    wake(now);
+}
+
+void Cell::onCommit(const std::string &job, const CommitResult &result, TimePoint now)
+{
+    Gang *gang = isOwned() ? findGang(job) : nullptr;
+    if (gang == nullptr || !gang->transactionSent) {
+        if (result.state != CommitState::Committed) {
+            m_actions.emplace_back(RefreshJob{job});
+        }
+        return;
+    }
+    if (gang->phase == GangPhase::Recording) {
+        onRecordResult(*gang, result, now);
+    } else if (gang->phase == GangPhase::Closing) {
+        onCloseResult(*gang, result, now);
+    }
+    wake(now);
+}
+
+void Cell::wake(TimePoint now)
+{
+    if (!isOwned()) {
+        return;
+    }
+    const TimePoint wanted = now + stepDelay;
+    if (m_timer.generation != 0 && m_nextStep <= wanted && m_nextStep >= now) {
+        return;
+    }
+    m_context.timers.cancel(m_timer);
+    m_nextStep = wanted;
+    m_timer = m_context.timers.subscribe(wanted, [this](TimePoint fired) {
+        step(fired);
+    });
+}
+
+void Cell::step(TimePoint now)
+{
+    m_timer = TimerId();
+    learn(now);
+    if (m_learned) {
+        adoptRunningRows(now);
+        for (Gang &gang : m_gangs) {
+            advance(gang, now);
+        }
+        std::erase_if(m_gangs, [](const Gang &gang) {
+            return gang.finished;
+        });
+        schedule(now);
+    }
+    BANYANLOCK_ASSERT(isSound());
+    sendMessages(now);
+    m_nextStep = now + idleStep;
+    m_timer = m_context.timers.subscribe(m_nextStep, [this](TimePoint fired) {
+        step(fired);
+    });
+}
+
+void Cell::learn(TimePoint now)
+{
+    // Rows that an earlier owner wrote are older than the epoch; all of them must have been read.
+    if (m_learned || m_jobsReadVersion < m_epoch || !m_workers.allKnown(now)) {
+        return;
+    }
+    m_learned = true;
+}
+
+void Cell::adoptRunningRows(TimePoint now)
+{
+    for (const std::string &id : m_context.jobs.liveIn(m_failureDomain)) {
+        const JobRecord &record = *m_context.jobs.find(id);
+        if (record.state != JobState::Running || findGang(id) != nullptr) {
+            continue;
+        }
+        Gang gang;
+        gang.job = id;
+        gang.run = record.run;
+        gang.recorded = true;
+        gang.phase = GangPhase::Starting;
+        gang.deadline = now;
+        for (const RecordedTask &task : record.tasks) {
+            const std::uint32_t worker = m_workers.indexOf(task.worker);
+            // A worker that has left the fleet has left its tasks too; any worker stands in for it, and doesn't know the task.
+            gang.placement.push_back({worker < m_workers.all().size() ? worker : 0, task.accelerators});
+        }
+        m_gangs.push_back(std::move(gang));
+    }
+}
+
+Gang *Cell::findGang(const std::string &job)
+{
+    const auto found = std::ranges::find(m_gangs, job, &Gang::job);
+    return found == m_gangs.end() ? nullptr : &*found;
+}
+
+const Gang *Cell::findGang(const std::string &job) const
+{
+    const auto found = std::ranges::find(m_gangs, job, &Gang::job);
+    return found == m_gangs.end() ? nullptr : &*found;
+}
+
+std::uint32_t Cell::firstWorker() const
+{
+    // Workers of other failure domains may come and go, so the place in the fleet is not kept.
+    const auto workers = m_context.fleet.workersOf(m_failureDomain);
+    return static_cast<std::uint32_t>(workers.data() - m_context.fleet.workers().data());
+}
+
+CellSnapshot Cell::snapshot(TimePoint now) const
+{
+    return {m_workers, m_gangs, m_context.jobs, m_context.plan, firstWorker(), now};
+}
+
+bool Cell::isSound() const
+{
+    std::vector<AcceleratorMask> taken(m_workers.all().size(), 0);
+    for (const Gang &gang : m_gangs) {
+        // A reclaiming gang waits for accelerators that others still hold; an adopted one is not yet checked against the workers.
+        if (gang.phase == GangPhase::Reclaiming || gang.phase == GangPhase::Stopping || gang.phase == GangPhase::Closing) {
+            continue;
+        }
+        for (const TaskPlacement &task : gang.placement) {
+            const bool inside = (task.accelerators & ~allAccelerators(m_workers.all()[task.worker].info)) == 0;
+            if (!inside || (taken[task.worker] & task.accelerators) != 0) {
+                return false;
+            }
+            taken[task.worker] |= task.accelerators;
+        }
+    }
+    return true;
+}
+
+std::vector<CellAction> Cell::takeActions()
+{
+    return std::exchange(m_actions, {});
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/Cell.h
@@ -0,0 +1,241 @@
+#pragma once
+
+#include "contract/Configuration.h"
+#include "core/Counters.h"
+#include "core/TimerService.h"
+#include "placement/Fleet.h"
+#include "placement/ReservationPlan.h"
+#include "schedule/CellAction.h"
+#include "schedule/CellPlanner.h"
+#include "schedule/CellWorkers.h"
+#include "schedule/Gang.h"
+#include "schedule/JobTable.h"
+
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Choices that measurements compare; the defaults are what daemons use.
+struct CellPolicy {
+    PlacementOrder order = PlacementOrder::BestFit; ///< How to choose among placements.
+    bool respectReservations = true; ///< Whether placements look at reservations.
+    bool orderByArrival = false; ///< Baseline: jobs start in the order of submission.
+    std::uint32_t failureLimit = 3; ///< Runs with a failed task after which a job has failed.
+};
+
+/// What all cells of an entry share.
+struct CellContext {
+    TimerService &timers; ///< Timer service.
+    Counters &counters; ///< Counters.
+    const Fleet &fleet; ///< All workers.
+    const Configuration &configuration; ///< Adopted configuration.
+    const ReservationPlan &plan; ///< Reservations of the guarantees.
+    JobTable &jobs; ///< All jobs.
+};
+
+/// The scheduler of one failure domain, run by the entry that owns it.
+///
+/// The cell compares what its gangs need with what the workers report, and sends the commands that bring the two together; commands may be
+/// lost and repeated. A gang starts only after all its workers have prepared and a transaction has recorded it; the transaction checks the
+/// owner's epoch, the failure domain's state and the job's row, so an owner that was paused, or an old configuration, starts nothing.
+class Cell
+{
+public:
+    /// @param failureDomain Failure domain of the cell.
+    /// @param entry Name of this entry, for change ids.
+    /// @param context What all cells share.
+    /// @param policy Choices that measurements compare.
+    /// @param times Times that the cell keeps.
+    Cell(std::string failureDomain, std::string entry, CellContext context, CellPolicy policy = {}, CellTimes times = {});
+
+    /// Cancels the cell's timer.
+    ~Cell();
+
+    Cell(const Cell &) = delete;
+    Cell &operator=(const Cell &) = delete;
+
+    /// Takes the cell over; first it learns from the workers what runs.
+    /// @param epoch Fencing token: version of the cell's row.
+    /// @param now Current time.
+    void own(std::uint64_t epoch, TimePoint now);
+
+    /// Gives the cell up: nothing is sent any more.
+    void disown();
+
+    /// @return Whether this entry owns the cell.
+    bool isOwned() const
+    {
+        return m_epoch != 0;
+    }
+
+    /// @return Whether the cell has learned what runs and may start gangs.
+    bool isLearned() const
+    {
+        return m_learned;
+    }
+
+    /// @return Fencing token; zero when not owned.
+    std::uint64_t epoch() const
+    {
+        return m_epoch;
+    }
+
+    /// @return Counts the takings of the cell; answers to messages of an earlier term are to be dropped.
+    std::uint64_t term() const
+    {
+        return m_term;
+    }
+
+    /// Tells that all job rows up to a version have been read.
+    /// @param version The store's version.
+    /// @param now Current time.
+    void onJobsRead(std::uint64_t version, TimePoint now);
+
+    /// Takes in a worker's report.
+    /// @param worker Name of the worker.
+    /// @param report The report.
+    /// @param now Current time.
+    void onReport(const std::string &worker, const WorkerReport &report, TimePoint now);
+
+    /// Takes in that a worker gave no report.
+    /// @param worker Name of the worker.
+    /// @param now Current time.
+    void onSilence(const std::string &worker, TimePoint now);
+
+    /// Takes in the result of a `CommitJob` action.
+    /// @param job Id of the job.
+    /// @param result The result.
+    /// @param now Current time.
+    void onCommit(const std::string &job, const CommitResult &result, TimePoint now);
+
+    /// Takes in the result of a `RefreshJob` action; a row that was read is in the job table by then.
+    /// @param job Id of the job.
+    /// @param available Whether the store answered.
+    /// @param now Current time.
+    void onRefresh(const std::string &job, bool available, TimePoint now);
+
+    /// Sets whether leases may be renewed: not by an owner that is cut off from store and peers for long.
+    /// @param allowed Whether they may.
+    void allowRenewals(bool allowed)
+    {
+        m_renewalsAllowed = allowed;
+    }
+
+    /// @return The actions collected since the last call, in order.
+    std::vector<CellAction> takeActions();
+
+    /// @return Gangs of the cell.
+    const std::vector<Gang> &gangs() const
+    {
+        return m_gangs;
+    }
+
+    /// @return Workers of the cell.
+    const CellWorkers &workers() const
+    {
+        return m_workers;
+    }
+
+    /// Checks that no accelerator is held by two gangs and no gang is placed outside its worker.
+    /// @return Whether all of it holds.
+    bool isSound() const;
+
+private:
+    /// What is known of a task.
+    enum class Presence : std::uint8_t {
+        Unseen,
+        Prepared,
+        Running,
+        Succeeded,
+        Failed,
+        Checkpointed,
+        Stopped,
+        Lost,
+    };
+
+    // Cell.cpp: ownership, events and steps
+    void wake(TimePoint now);
+    void step(TimePoint now);
+    void learn(TimePoint now);
+    void adoptRunningRows(TimePoint now);
+    Gang *findGang(const std::string &job);
+    const Gang *findGang(const std::string &job) const;
+    CellSnapshot snapshot(TimePoint now) const;
+    std::uint32_t firstWorker() const;
+
+    // CellGangs.cpp: life cycle of gangs
+    Presence presenceOf(const Gang &gang, std::uint32_t task, TimePoint now) const;
+    bool everyTask(const Gang &gang, TimePoint now, std::initializer_list<Presence> wanted) const;
+    bool anyTask(const Gang &gang, TimePoint now, std::initializer_list<Presence> unwanted) const;
+    bool anyWorkerSilent(const Gang &gang, TimePoint now) const;
+    bool taskIsGone(const Gang &gang, std::uint32_t task, TimePoint now) const;
+    bool isWanted(const Gang &gang) const;
+    void advance(Gang &gang, TimePoint now);
+    void advanceReclaiming(Gang &gang, TimePoint now);
+    void advancePreparing(Gang &gang, TimePoint now);
+    void advanceStarting(Gang &gang, TimePoint now);
+    void advanceRunning(Gang &gang, TimePoint now);
+    void advanceStopping(Gang &gang, TimePoint now);
+    void record(Gang &gang);
+    void close(Gang &gang, TimePoint now);
+    void stop(Gang &gang, GangOutcome outcome, bool useCheckpoint, TimePoint now);
+    void requeue(Gang &gang, const std::string &reason, bool useCheckpoint, TimePoint now);
+    void onRecordResult(Gang &gang, const CommitResult &result, TimePoint now);
+    void onCloseResult(Gang &gang, const CommitResult &result, TimePoint now);
+    void adoptWritten(const Gang &gang, std::uint64_t version);
+    void countTaskEnds(const Gang &gang, TimePoint now);
+    JobRecord recordedStart(const Gang &gang) const;
+    JobRecord closedRecord(const Gang &gang) const;
+    TableTransaction makeTransaction(const JobRecord &next, const std::string &step) const;
+
+    // CellSchedule.cpp: queue and placement
+    void schedule(TimePoint now);
+    std::vector<const JobRecord *> queuedJobs(TimePoint now);
+    bool tryPlace(const JobRecord &job, bool heldBack, TimePoint now);
+    std::optional<PlannedGang> plan(const JobRecord &job, bool heldBack, TimePoint now) const;
+    void addGang(const JobRecord &job, PlannedGang planned, TimePoint now);
+    void tryMove(const JobRecord &job, TimePoint now);
+    bool withinLimit(const JobSpec &spec) const;
+    bool isOnOwnReservation(const GangPlacement &placement, const std::string &workspace) const;
+    bool mayPreempt(const Gang &victim, const JobRecord &job) const;
+    double weightedUse(const std::string &workspace) const;
+    bool isAged(const JobRecord &job, TimePoint now) const;
+    void countHeld();
+
+    // CellMessages.cpp: messages to workers
+    void sendMessages(TimePoint now);
+    bool isMessageDue(const WorkerState &worker, const std::vector<TaskCommand> &commands, TimePoint now) const;
+    std::vector<TaskCommand> commandsFor(std::uint32_t worker, TimePoint now) const;
+    std::optional<TaskCommandKind> commandKindFor(const Gang &gang, std::uint32_t task, TimePoint now) const;
+    TaskCommand makeCommand(TaskCommandKind kind, const Gang &gang, std::uint32_t task) const;
+    void addOrphanCommands(std::vector<TaskCommand> &commands, const WorkerState &worker) const;
+
+    std::string m_failureDomain;
+    std::string m_entry;
+    CellContext m_context;
+    CellPolicy m_policy;
+    CellTimes m_times;
+    CellPlanner m_planner;
+    CellWorkers m_workers;
+    std::vector<Gang> m_gangs;
+    std::vector<CellAction> m_actions;
+    std::map<std::string, std::uint32_t> m_lastRuns;
+    std::map<std::string, TimePoint> m_firstSeen;
+    std::map<std::string, TimePoint> m_movedAt;
+    TimerId m_timer;
+    TimePoint m_nextStep{};
+    TimePoint m_storeRetryAt{};
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_jobsReadVersion = 0;
+    std::uint64_t m_term = 0;
+    bool m_learned = false;
+    bool m_renewalsAllowed = true;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/CellPlanner.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "placement/GangPlacer.h"
+#include "placement/ReservationPlan.h"
+#include "schedule/CellWorkers.h"
+#include "schedule/Gang.h"
+#include "schedule/JobTable.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <span>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// How a job's accelerators are found.
+enum class PlacementPass : std::uint8_t {
+    OwnOrUnreserved, ///< Free ones that are its own reservation or nobody's.
+    ReclaimOwn, ///< As above, and its own reservation's that others have borrowed.
+    Borrow, ///< Any free ones.
+    Preempt, ///< Free ones, and those of work that may be stopped for this job.
+};
+
+/// A placement with the gangs that must stop for it.
+struct PlannedGang {
+    GangPlacement placement; ///< Places of the tasks.
+    std::vector<std::string> victims; ///< Jobs whose gangs must stop first.
+};
+
+/// What the planner looks at.
+struct CellSnapshot {
+    const CellWorkers &workers; ///< Workers of the cell.
+    const std::vector<Gang> &gangs; ///< Gangs of the cell.
+    const JobTable &jobs; ///< All jobs.
+    const ReservationPlan &plan; ///< Reservations of the guarantees.
+    std::uint32_t firstWorker = 0; ///< Index in the fleet of the cell's first worker.
+    TimePoint now{}; ///< Current time.
+};
+
+/// Finds placements for jobs in one cell, with respect for everyone's reservations.
+class CellPlanner
+{
+public:
+    /// Decides whether a gang may be stopped for a job.
+    using MayStop = std::function<bool(const Gang &)>;
+
+    /// @param order How to choose among placements that fit.
+    /// @param respectReservations Baseline when false: reservations are not looked at.
+    CellPlanner(PlacementOrder order, bool respectReservations)
+        : m_placer(order)
+        , m_respectReservations(respectReservations)
+    {
+    }
+
+    /// Tries one pass.
+    /// @param pass How accelerators are found.
+    /// @param spec The job.
+    /// @param cell State of the cell.
+    /// @param mayStop Which gangs a `Preempt` pass may stop.
+    /// @return A placement, or nothing.
+    std::optional<PlannedGang> plan(PlacementPass pass, const JobSpec &spec, const CellSnapshot &cell, const MayStop &mayStop) const;
+
+private:
+    /// What gangs that may be stopped hold on one worker.
+    struct Stoppable {
+        AcceleratorMask accelerators = 0;
+        std::uint32_t processors = 0;
+        std::uint32_t memoryMegabytes = 0;
+    };
+
+    std::vector<WorkerView> makeViews(PlacementPass pass, const JobSpec &spec, const CellSnapshot &cell,
+                                      std::span<const Stoppable> stoppable) const;
+    static std::vector<Stoppable> findStoppable(const CellSnapshot &cell, const MayStop &mayStop);
+    static std::vector<std::string> victimsOf(const GangPlacement &placement, const CellSnapshot &cell);
+
+    GangPlacer m_placer;
+    bool m_respectReservations;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/CellWorkers.cpp
@@ -0,0 +1,99 @@
+#include "schedule/CellWorkers.h"
+
+#include <algorithm>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::uint32_t failuresToQuarantine = 3;
+
+} // namespace
+
+const TaskReport *WorkerState::find(const TaskKey &key) const
+{
+    const auto found = std::ranges::find(tasks, key, &TaskReport::task);
+    return found == tasks.end() ? nullptr : &*found;
+}
+
+void CellWorkers::reset(std::span<const WorkerInfo> workers, TimePoint now)
+{
+    m_workers.clear();
+    for (const WorkerInfo &info : workers) {
+        WorkerState state;
+        state.info = info;
+        state.lastReport = now;
+        state.lastRenewal = now + m_times.detachedLimit;
+        if (!m_workers.empty()) {
+            const WorkerState &previous = m_workers.back();
+            state.rack = previous.rack + (previous.info.rack == info.rack ? 0 : 1);
+        }
+        m_workers.push_back(std::move(state));
+    }
+}
+
+std::uint32_t CellWorkers::indexOf(const std::string &name) const
+{
+    const auto found = std::ranges::find_if(m_workers, [&](const WorkerState &worker) {
+        return worker.info.name == name;
+    });
+    return static_cast<std::uint32_t>(found - m_workers.begin());
+}
+
+void CellWorkers::onReport(std::uint32_t worker, const WorkerReport &report, TimePoint now)
+{
+    WorkerState &state = m_workers[worker];
+    state.messageUnderWay = false;
+    state.boot = report.boot;
+    state.clock = report.clock;
+    state.clockReadAt = now;
+    state.lastReport = now;
+    state.lastRenewal = state.lastSent;
+    state.reportSentAt = state.lastSent;
+    state.tasks = report.tasks;
+}
+
+void CellWorkers::onSilence(std::uint32_t worker)
+{
+    WorkerState &state = m_workers[worker];
+    state.messageUnderWay = false;
+    state.unresolvedUntil = std::max(state.unresolvedUntil, state.lastSent + m_times.validity);
+}
+
+bool CellWorkers::isUsable(const WorkerState &worker, TimePoint now) const
+{
+    return worker.boot != 0 && isHeard(worker, now) && now >= worker.quarantinedUntil;
+}
+
+bool CellWorkers::allKnown(TimePoint now) const
+{
+    return std::ranges::all_of(m_workers, [&](const WorkerState &worker) {
+        return worker.boot != 0 || !isHeard(worker, now);
+    });
+}
+
+void CellWorkers::recordTaskEnd(std::uint32_t worker, const std::string &job, bool succeeded, TimePoint now)
+{
+    WorkerState &state = m_workers[worker];
+    if (succeeded) {
+        state.failuresInRow = 0;
+        state.failedSeveralJobs = false;
+        state.quarantines = 0;
+        return;
+    }
+    state.failedSeveralJobs = state.failedSeveralJobs || (state.failuresInRow > 0 && state.lastFailedJob != job);
+    state.lastFailedJob = job;
+    ++state.failuresInRow;
+    // One job that fails again and again says more of the job than of the worker.
+    if (state.failuresInRow >= failuresToQuarantine && state.failedSeveralJobs) {
+        const Duration doubled = m_times.firstQuarantine * (1U << std::min(state.quarantines, 10U));
+        state.quarantinedUntil = now + std::min(doubled, m_times.longestQuarantine);
+        ++state.quarantines;
+        // One more failure is enough after the quarantine.
+        state.failuresInRow = failuresToQuarantine - 1;
+        m_counters.add(Counter::WorkersQuarantined);
+    }
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/CellWorkers.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "core/Counters.h"
+#include "core/Time.h"
+#include "placement/WorkerInfo.h"
+#include "schedule/WorkerMessage.h"
+
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Times that a cell keeps.
+struct CellTimes {
+    Duration heartbeat = fromMilliseconds(1000); ///< Longest time between two messages to a worker.
+    Duration lease = fromMilliseconds(4000); ///< Time for which tasks go on without a message.
+    Duration validity = fromMilliseconds(2000); ///< Time after which a worker passes over a message.
+    Duration prepareLimit = fromMilliseconds(2000); ///< Limit for preparing a gang.
+    Duration startLimit = fromMilliseconds(4000); ///< Limit from the record to the last task's start.
+    Duration checkpointGrace = fromMilliseconds(10000); ///< Time that a checkpoint may take.
+    Duration moveAfter = fromMilliseconds(2000); ///< Wait after which a job looks at other cells.
+    Duration agingLimit = fromMilliseconds(60000); ///< Wait after which a job goes ahead of its share.
+    Duration firstQuarantine = fromMilliseconds(30000); ///< First quarantine of a worker; doubled each time in a row.
+    Duration longestQuarantine = fromMilliseconds(600000); ///< Longest quarantine.
+    Duration detachedLimit = fromMilliseconds(60000); ///< Time for which an owner cut off from store and peers renews leases.
+};
+
+/// A worker as the cell's owner knows it.
+struct WorkerState {
+    WorkerInfo info; ///< What is fixed about it.
+    std::uint32_t rack = 0; ///< Number of its rack in the cell.
+    std::uint64_t boot = 0; ///< Its process; zero until the first report.
+    TimePoint clock{}; ///< Its clock in the last report.
+    TimePoint clockReadAt{}; ///< When that report came.
+    TimePoint lastReport{}; ///< When the last report came, or when the cell was taken.
+    TimePoint lastSent{}; ///< When the last message was sent.
+    TimePoint reportSentAt{}; ///< When the message was sent that the last report answered.
+    TimePoint lastRenewal{}; ///< Latest moment at which a renewal can have been sent.
+    std::vector<TaskCommand> lastCommands; ///< Commands of the last message.
+    TimePoint unresolvedUntil{}; ///< Until when a message without an answer may still be acted on.
+    bool messageUnderWay = false; ///< A message waits for its report.
+    std::vector<TaskReport> tasks; ///< Tasks of the last report.
+    AcceleratorMask held = 0; ///< Accelerators of the cell's gangs.
+    std::uint32_t processorsHeld = 0; ///< Processor cores of the cell's gangs.
+    std::uint32_t memoryHeld = 0; ///< Memory of the cell's gangs, in megabytes.
+    std::uint32_t failuresInRow = 0; ///< Failed tasks since the last good one.
+    std::string lastFailedJob; ///< Job of the last failed task.
+    bool failedSeveralJobs = false; ///< The failures in a row came from more than one job.
+    std::uint32_t quarantines = 0; ///< Quarantines in a row.
+    TimePoint quarantinedUntil{}; ///< Nothing is placed before this time.
+
+    /// @param key Task to look up.
+    /// @return The last report of the task, or null.
+    const TaskReport *find(const TaskKey &key) const;
+};
+
+/// The workers of a cell: their reports, silences and failures.
+class CellWorkers
+{
+public:
+    /// @param times Times that the cell keeps.
+    /// @param counters Where quarantines are counted.
+    CellWorkers(CellTimes times, Counters &counters)
+        : m_times(times)
+        , m_counters(counters)
+    {
+    }
+
+    /// Takes over the workers of the cell, when it is taken. An earlier owner may have renewed leases until now, and may go on for a while
+    /// if it is cut off.
+    /// @param workers Workers, racks together.
+    /// @param now Current time.
+    void reset(std::span<const WorkerInfo> workers, TimePoint now);
+
+    /// @return All workers of the cell.
+    std::span<WorkerState> all()
+    {
+        return m_workers;
+    }
+
+    /// @return All workers of the cell.
+    std::span<const WorkerState> all() const
+    {
+        return m_workers;
+    }
+
+    /// @param name Name of a worker.
+    /// @return Its index, or the number of workers if it is unknown.
+    std::uint32_t indexOf(const std::string &name) const;
+
+    /// Takes in a report.
+    /// @param worker Index of the worker.
+    /// @param report Its report.
+    /// @param now Current time.
+    void onReport(std::uint32_t worker, const WorkerReport &report, TimePoint now);
+
+    /// Takes in that a message got no report.
+    /// @param worker Index of the worker.
+    void onSilence(std::uint32_t worker);
+
+    /// @param worker Worker to look at.
+    /// @param now Current time.
+    /// @return Whether gangs may be placed on it.
+    bool isUsable(const WorkerState &worker, TimePoint now) const;
+
+    /// @param worker Worker to look at.
+    /// @param now Current time.
+    /// @return Whether it has reported lately; the leases of other workers are not renewed.
+    bool isHeard(const WorkerState &worker, TimePoint now) const
+    {
+        return now - worker.lastReport <= 2 * m_times.heartbeat + m_times.heartbeat / 2;
+    }
+
+    /// @param worker Worker to look at.
+    /// @param now Current time.
+    /// @return Whether its leases may have lapsed, so that its gangs must stop.
+    bool isSilent(const WorkerState &worker, TimePoint now) const
+    {
+        return now - worker.lastReport > m_times.lease;
+    }
+
+    /// @param worker Worker to look at.
+    /// @param now Current time.
+    /// @return Whether its tasks have surely stopped: the last renewal that it can have acted on has run out.
+    bool isLost(const WorkerState &worker, TimePoint now) const
+    {
+        return now > worker.lastRenewal + m_times.validity + m_times.lease;
+    }
+
+    /// @return Whether every worker has reported under this ownership, or was asked and is silent.
+    /// @param now Current time.
+    bool allKnown(TimePoint now) const;
+
+    /// Takes in the end of a task for the worker's failure record.
+    /// @param worker Index of the worker.
+    /// @param job Job of the task.
+    /// @param succeeded Whether it ended well.
+    /// @param now Current time.
+    void recordTaskEnd(std::uint32_t worker, const std::string &job, bool succeeded, TimePoint now);
+
+private:
+    CellTimes m_times;
+    Counters &m_counters;
+    std::vector<WorkerState> m_workers;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/JobRouter.cpp
@@ -0,0 +1,65 @@
+#include "schedule/JobRouter.h"
+
+#include "placement/GangPlacer.h"
+
+#include <bit>
+#include <vector>
+
+namespace banyanlock
+{
+
+bool JobRouter::everFits(const JobSpec &spec, std::string_view cell) const
+{
+    std::vector<WorkerView> views;
+    const auto workers = m_fleet.workersOf(cell);
+    std::uint32_t rack = 0;
+    for (std::size_t index = 0; index < workers.size(); ++index) {
+        const WorkerInfo &worker = workers[index];
+        rack += index > 0 && workers[index - 1].rack != worker.rack ? 1 : 0;
+        views.push_back({rack, allAccelerators(worker), 0, worker.accelerators, worker.processors, worker.memoryMegabytes});
+    }
+    return GangPlacer(PlacementOrder::FirstFit).place(spec.shape, views).has_value();
+}
+
+std::int64_t JobRouter::room(const JobSpec &spec, std::string_view cell) const
+{
+    std::int64_t total = 0;
+    const auto workers = m_fleet.workersOf(cell);
+    const auto first = static_cast<std::uint32_t>(workers.data() - m_fleet.workers().data());
+    for (std::uint32_t index = 0; index < workers.size(); ++index) {
+        // The workspace's own reservations count twice: the job is sure of them.
+        total += workers[index].accelerators;
+        total += std::popcount(m_plan.reservedFor(first + index, spec.workspace));
+    }
+    return total - m_jobs.demandOn(cell);
+}
+
+std::optional<std::string> JobRouter::choose(const JobSpec &spec, std::string_view avoided) const
+{
+    std::optional<std::string> best;
+    bool bestIsOut = true;
+    std::int64_t bestRoom = 0;
+    for (const std::string &cell : m_fleet.failureDomains()) {
+        if (cell == avoided || !everFits(spec, cell)) {
+            continue;
+        }
+        const bool out = m_configuration.isOut(cell);
+        const std::int64_t cellRoom = room(spec, cell);
+        const bool better = !best || (bestIsOut && !out) || (bestIsOut == out && cellRoom > bestRoom);
+        if (better) {
+            best = cell;
+            bestIsOut = out;
+            bestRoom = cellRoom;
+        }
+    }
+    return best;
+}
+
+std::optional<std::string> JobRouter::chooseWithRoom(const JobSpec &spec, std::string_view current) const
+{
+    const std::optional<std::string> cell = choose(spec, current);
+    const bool good = cell && !m_configuration.isOut(*cell) && room(spec, *cell) >= totalAccelerators(spec);
+    return good ? cell : std::nullopt;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/schedule/WorkerCodec.cpp
@@ -0,0 +1,170 @@
+#include "schedule/WorkerCodec.h"
+
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace banyanlock
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr std::array<const char *, 5> commandNames{"prepare", "commit", "checkpoint", "stop", "forget"};
+constexpr std::array<const char *, 6> taskStateNames{"prepared", "running", "succeeded", "failed", "checkpointed", "stopped"};
+
+template <typename Value, std::size_t Size> Value valueFromName(const std::array<const char *, Size> &names, const std::string &name)
+{
+    std::size_t index = 0;
+    while (index + 1 < Size && name != names[index]) {
+        ++index;
+    }
+    return static_cast<Value>(index);
+}
+
+Json writeKey(const TaskKey &key)
+{
+    return {{"job", key.job}, {"run", key.run}, {"index", key.index}};
+}
+
+TaskKey readKey(const Json &json)
+{
+    return {json.at("job"), json.at("run"), json.at("index")};
+}
+
+std::int64_t microsecondsOf(TimePoint point)
+{
+    return point.time_since_epoch().count();
+}
+
+TimePoint readPoint(const Json &json)
+{
+    return TimePoint(Duration(json.get<std::int64_t>()));
+}
+
+template <typename Value, typename Read> Result<Value> decodeWith(const std::string &text, Read read)
+{
+    try {
+        return read(Json::parse(text));
+    } catch (const Json::exception &error) {
+        return Error{ResultCode::MalformedRequest, error.what()};
+    }
+}
+
+TaskCommand readCommand(const Json &json)
+{
+    TaskCommand command;
+    command.kind = valueFromName<TaskCommandKind>(commandNames, json.at("kind"));
+    command.task = readKey(json.at("task"));
+    command.accelerators = json.at("accelerators");
+    command.processors = json.at("processors");
+    command.memoryMegabytes = json.at("memory_megabytes");
+    command.durationHintMilliseconds = json.at("duration_hint_milliseconds");
+    command.fromCheckpoint = json.at("from_checkpoint");
+    return command;
+}
+
+Json writeCommand(const TaskCommand &command)
+{
+    return {{"kind", commandNames[static_cast<std::size_t>(command.kind)]},
+            {"task", writeKey(command.task)},
+            {"accelerators", command.accelerators},
+            {"processors", command.processors},
+            {"memory_megabytes", command.memoryMegabytes},
+            {"duration_hint_milliseconds", command.durationHintMilliseconds},
+            {"from_checkpoint", command.fromCheckpoint}};
+}
+
+} // namespace
+
+std::string encodeWorkerMessage(const WorkerMessage &message)
+{
+    Json commands = Json::array();
+    for (const TaskCommand &command : message.commands) {
+        commands.push_back(writeCommand(command));
+    }
+    return Json{{"cell", message.cell},
+                {"epoch", message.epoch},
+                {"boot", message.boot},
+                {"valid_until_microseconds", microsecondsOf(message.validUntil)},
+                {"lease_microseconds", message.lease.count()},
+                {"commands", commands}}
+        .dump();
+}
+
+Result<WorkerMessage> decodeWorkerMessage(const std::string &text)
+{
+    return decodeWith<WorkerMessage>(text, [](const Json &json) {
+        WorkerMessage message;
+        message.cell = json.at("cell");
+        message.epoch = json.at("epoch");
+        message.boot = json.at("boot");
+        message.validUntil = readPoint(json.at("valid_until_microseconds"));
+        message.lease = Duration(json.at("lease_microseconds").get<std::int64_t>());
+        for (const Json &command : json.at("commands")) {
+            message.commands.push_back(readCommand(command));
+        }
+        return message;
+    });
+}
+
+std::string encodeWorkerReport(const WorkerReport &report)
+{
+    Json tasks = Json::array();
+    for (const TaskReport &task : report.tasks) {
+        tasks.push_back({{"task", writeKey(task.task)},
+                         {"state", taskStateNames[static_cast<std::size_t>(task.state)]},
+                         {"accelerators", task.accelerators}});
+    }
+    return Json{{"boot", report.boot},
+                {"clock_microseconds", microsecondsOf(report.clock)},
+                {"highest_epoch", report.highestEpoch},
+                {"accepted", report.accepted},
+                {"tasks", tasks}}
+        .dump();
+}
+
+Result<WorkerReport> decodeWorkerReport(const std::string &text)
+{
+    return decodeWith<WorkerReport>(text, [](const Json &json) {
+        WorkerReport report;
+        report.boot = json.at("boot");
+        report.clock = readPoint(json.at("clock_microseconds"));
+        report.highestEpoch = json.at("highest_epoch");
+        report.accepted = json.at("accepted");
+        for (const Json &task : json.at("tasks")) {
+            report.tasks.push_back(
+                {readKey(task.at("task")), valueFromName<TaskState>(taskStateNames, task.at("state")), task.at("accelerators")});
+        }
+        return report;
+    });
+}
+
+std::string encodeWorkerInfo(const WorkerInfo &worker)
+{
+    return Json{{"name", worker.name},
+                {"address", worker.address},
+                {"failure_domain", worker.failureDomain},
+                {"rack", worker.rack},
+                {"accelerators", worker.accelerators},
+                {"processors", worker.processors},
+                {"memory_megabytes", worker.memoryMegabytes}}
+        .dump();
+}
+
+Result<WorkerInfo> decodeWorkerInfo(const std::string &text)
+{
+    return decodeWith<WorkerInfo>(text, [](const Json &json) {
+        WorkerInfo worker;
+        worker.name = json.at("name");
+        worker.address = json.at("address");
+        worker.failureDomain = json.at("failure_domain");
+        worker.rack = json.at("rack");
+        worker.accelerators = json.at("accelerators");
+        worker.processors = json.at("processors");
+        worker.memoryMegabytes = json.at("memory_megabytes");
+        return worker;
+    });
+}
+
+} // namespace banyanlock
