Inject every fault at every step, and suspect agents whose connection ended

Cause: the randomised runs don't show which fault was met at which step.

An entry that sees its connection to an agent end sends it nothing until it is heard again.

Found: reading a value from a result that holds an error crashed far from its cause; it is now an invariant.

--- a/src/core/Result.h
+++ b/src/core/Result.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Assert.h"
 #include "core/ResultCode.h"
 
 #include <string>
@@ -33,6 +34,7 @@
 /// @return The value.
 template <typename Value> Value &valueOf(Result<Value> &result)
 {
+    BANYANLOCK_ASSERT(isOk(result));
     return *std::get_if<Value>(&result);
 }
 
@@ -40,6 +42,7 @@
 /// @return The value.
 template <typename Value> const Value &valueOf(const Result<Value> &result)
 {
+    BANYANLOCK_ASSERT(isOk(result));
     return *std::get_if<Value>(&result);
 }
 
--- a/src/dispatch/MemberTable.cpp
+++ b/src/dispatch/MemberTable.cpp
@@ -59,6 +59,13 @@
     reportLoad(*member, announcement.load, now);
 }
 
+void MemberTable::suspect(std::string_view address)
+{
+    for (Member &member : m_members) {
+        member.suspect = member.suspect || member.announced.address == address;
+    }
+}
+
 void MemberTable::expire(TimePoint now)
 {
     const std::size_t removed = std::erase_if(m_members, [&](const Member &member) {
--- a/src/dispatch/MemberTable.h
+++ b/src/dispatch/MemberTable.h
@@ -38,6 +38,10 @@
     /// @param now Current time.
     void announce(const Announcement &announcement, TimePoint now);
 
+    /// Keeps new attempts from an agent until its next announcement.
+    /// @param address RPC address of the agent.
+    void suspect(std::string_view address);
+
     /// Forgets agents that have not been heard of for long.
     /// @param now Current time.
     void expire(TimePoint now);
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -61,6 +61,13 @@
     /// @param now Current time.
     void announce(const Announcement &announcement, TimePoint now);
 
+    /// Takes in that a connection to an agent has ended: its process may be gone, so it gets nothing until it is heard again.
+    /// @param address RPC address of the agent.
+    void onDisconnected(std::string_view address)
+    {
+        m_members.suspect(address);
+    }
+
     /// Takes a caller's request; an `AnswerCaller` action follows, now or later.
     /// @param request The request.
     /// @param now Current time.
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -68,6 +68,11 @@
     m_loop.setFlush([this] {
         flush();
     });
+    m_rpc.setDisconnectListener([this](const std::string &address) {
+        m_loop.post([this, address] {
+            m_requests.pipeline().onDisconnected(address);
+        });
+    });
     Result<Done> listening = m_rpc.serveEntry(*Endpoint::parse(m_settings.rpcAddress), makeHandlers());
     if (isOk(listening)) {
         listening = m_server.listen(*Endpoint::parse(m_settings.httpAddress));
--- a/src/rpc/RpcNode.cpp
+++ b/src/rpc/RpcNode.cpp
@@ -127,6 +127,11 @@
         return m_loop;
     }
 
+    void setDisconnectListener(std::function<void(const std::string &)> listener)
+    {
+        m_onDisconnect = std::move(listener);
+    }
+
     Result<Done> serve(const Endpoint &endpoint, std::function<capnp::Capability::Client()> makeServer)
     {
         std::promise<Result<Done>> listening;
@@ -218,6 +223,9 @@
             if (const std::shared_ptr<Connection> live = opened.lock()) {
                 // Calls made from now on connect anew.
                 drop(address, live);
+                if (m_onDisconnect) {
+                    m_onDisconnect(address);
+                }
             }
         }));
     }
@@ -231,6 +239,7 @@
     }
 
     RpcLoop m_loop;
+    std::function<void(const std::string &)> m_onDisconnect;
     kj::Own<kj::TaskSet> m_tasks;
     kj::Own<capnp::TwoPartyServer> m_server;
     std::map<std::string, std::shared_ptr<Connection>> m_connections;
@@ -243,6 +252,11 @@
 
 RpcNode::~RpcNode() = default;
 
+void RpcNode::setDisconnectListener(std::function<void(const std::string &)> listener)
+{
+    m_impl->setDisconnectListener(std::move(listener));
+}
+
 Result<Done> RpcNode::serveAgent(const Endpoint &endpoint, AgentHandlers handlers)
 {
     RpcLoop &loop = m_impl->loop();
--- a/src/rpc/RpcNode.h
+++ b/src/rpc/RpcNode.h
@@ -45,6 +45,10 @@
     /// @return Done, or why listening failed.
     Result<Done> serveEntry(const Endpoint &endpoint, EntryHandlers handlers);
 
+    /// Sets what is called, on the RPC thread, when a connection to an address has ended; call before the first call is made.
+    /// @param listener Called with the address.
+    void setDisconnectListener(std::function<void(const std::string &)> listener);
+
     /// Offers an attempt to an agent.
     /// @param address RPC address of the agent.
     /// @param message The attempt.
--- a/tests/dispatch/DispatchWorld.cpp
+++ b/tests/dispatch/DispatchWorld.cpp
@@ -229,6 +229,18 @@
 
 void DispatchWorld::restartAgent(int agent)
 {
+    // The entries see their connections break.
+    for (const std::unique_ptr<EntryProcess> &entry : m_entries) {
+        m_network.after(breakNotice, [this, agent, index = entry->index, incarnation = entry->incarnation] {
+            withEntry(index, incarnation, [agent](EntryProcess &noticing) {
+                noticing.pipeline->onDisconnected(std::to_string(agent));
+            });
+        });
+    }
+    AgentProcess &process = *m_agents[static_cast<std::size_t>(agent)];
+    for (const auto &[id, entry] : process.replyTo) {
+        failAttempt(entry, process.replyToIncarnation[id], id, TransportFailure::Lost, breakNotice);
+    }
     startAgent(agent);
 }
 
@@ -283,6 +295,33 @@
 
 // ---- requests
 
+void DispatchWorld::reach(RequestStep step, int agent)
+{
+    m_messageFault = MessageFault::None;
+    if (m_stepHook) {
+        m_stepHook(step, agent);
+    }
+}
+
+void DispatchWorld::sendMessage(MessageFault fault, const std::function<void()> &deliver)
+{
+    switch (fault) {
+    case MessageFault::Lose:
+    case MessageFault::Break:
+        break;
+    case MessageFault::Delay:
+        m_network.after(fromMilliseconds(1500), deliver);
+        break;
+    case MessageFault::Duplicate:
+        m_network.send(m_options.network, deliver);
+        m_network.send(m_options.network, deliver);
+        break;
+    default:
+        m_network.send(m_options.network, deliver);
+        break;
+    }
+}
+
 void DispatchWorld::request(int entry, bool idempotent, const std::string &key, Duration timeout)
 {
     EntryProcess &process = *m_entries[static_cast<std::size_t>(entry)];
@@ -351,13 +390,15 @@
     const int target = std::stoi(action.address);
     AgentProcess &agent = *m_agents[static_cast<std::size_t>(target)];
     const AttemptId id = action.message.id;
+    reach(RequestStep::Send, target);
+    const MessageFault fault = m_messageFault;
     if (agent.dead) {
         failAttempt(entry.index, entry.incarnation, id, TransportFailure::NotSent, breakNotice);
         return;
     }
     // The connection reaches whichever process has the address now.
     const std::uint64_t reached = agent.incarnation;
-    m_network.send(m_options.network, [this, target, reached, message = action.message, from = entry.index, process = entry.incarnation] {
+    sendMessage(fault, [this, target, reached, message = action.message, from = entry.index, process = entry.incarnation] {
         AgentProcess &current = *m_agents[static_cast<std::size_t>(target)];
         const bool crossesRestart = current.incarnation != reached && m_options.network.duplication > 0;
         if (current.dead || (current.incarnation != reached && !crossesRestart)) {
@@ -371,7 +412,7 @@
         });
     });
     // A broken connection is seen by both ends in the end; whether before or after the answer is a matter of chance.
-    if (m_random.chance(m_options.network.loss)) {
+    if (fault == MessageFault::Break || m_random.chance(m_options.network.loss)) {
         failAttempt(entry.index, entry.incarnation, id, TransportFailure::Lost, Duration(m_random.below(100000)));
     }
 }
@@ -434,6 +475,7 @@
 
 void DispatchWorld::perform(EntryProcess &entry, ClaimKey &action)
 {
+    reach(RequestStep::Claim, -1);
     const Duration delay(m_random.below(10000));
     m_network.after(delay, [this, action, index = entry.index, incarnation = entry.incarnation] {
         const ClaimResult result = claim(action.claim);
@@ -445,6 +487,7 @@
 
 void DispatchWorld::perform(EntryProcess &, SettleClaim &action)
 {
+    reach(RequestStep::Settle, -1);
     ClaimRow &row = m_claims[action.claim.key];
     if (row.holder == action.claim.holder) {
         row.answer = action.answer;
@@ -464,6 +507,7 @@
 void DispatchWorld::perform(AgentProcess &agent, ForwardToBackend &action)
 {
     const std::string body = *action.message.body;
+    reach(RequestStep::Run, agent.index);
     const AttemptId id = action.message.id;
     BackendResult result;
     Duration time = m_options.serviceTime / 2 + Duration(m_random.below(static_cast<std::uint32_t>(m_options.serviceTime.count())));
@@ -492,16 +536,22 @@
 void DispatchWorld::perform(AgentProcess &agent, SendReply &action)
 {
     AttemptReply reply = action.reply;
-    if (reply.body && m_random.chance(m_options.truncation)) {
+    reach(RequestStep::Reply, agent.index);
+    const MessageFault fault = m_messageFault;
+    if (reply.body && (fault == MessageFault::Truncate || m_random.chance(m_options.truncation))) {
         reply.body = std::make_shared<const std::string>(reply.body->substr(0, reply.body->size() / 2));
     }
     const int target = agent.replyTo[reply.id];
     const std::uint64_t process = agent.replyToIncarnation[reply.id];
-    m_network.send(m_options.network, [this, target, process, reply] {
+    sendMessage(fault, [this, target, process, reply] {
         withEntry(target, process, [this, reply](EntryProcess &entry) {
             entry.pipeline->onReply(reply, m_network.now());
         });
     });
+    if (fault == MessageFault::Break) {
+        failAttempt(target, process, reply.id, TransportFailure::Lost, breakNotice);
+    }
+    agent.replyTo.erase(reply.id);
 }
 
 // ---- promises
--- a/tests/dispatch/DispatchWorld.h
+++ b/tests/dispatch/DispatchWorld.h
@@ -7,6 +7,7 @@
 #include "support/VirtualNetwork.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -28,6 +29,26 @@
     double storeLosesAnswer = 0; ///< Chance that the answer of a claim that took effect is lost.
 };
 
+/// Steps of a request at which faults are injected.
+enum class RequestStep : std::uint8_t {
+    Claim, ///< The idempotency key is claimed.
+    Send, ///< The attempt is sent to the agent.
+    Run, ///< The backend server runs the request.
+    Reply, ///< The agent replies.
+    Settle, ///< The answer is recorded under the key.
+    Count,
+};
+
+/// What happens to one message.
+enum class MessageFault : std::uint8_t {
+    None,
+    Lose,
+    Delay, ///< Beyond every deadline.
+    Duplicate,
+    Break, ///< The message is lost with its connection, which the entry sees.
+    Truncate,
+};
+
 /// A request as the outside sees it.
 struct TrackedRequest {
     std::string body; ///< Unique body.
@@ -87,6 +108,27 @@
     /// @param length How long.
     void breakBackend(int agent, Duration length);
 
+    /// Sets what is called when a request reaches a step; it may set a fault for the step's message.
+    /// @param hook Called with the step and the agent concerned, or -1.
+    void setStepHook(std::function<void(RequestStep, int)> hook)
+    {
+        m_stepHook = std::move(hook);
+    }
+
+    /// Sets what happens to the message of the step that is reported.
+    /// @param fault The fault.
+    void setMessageFault(MessageFault fault)
+    {
+        m_messageFault = fault;
+    }
+
+    /// Runs something right after the current event.
+    /// @param event What to run.
+    void soon(std::function<void()> event)
+    {
+        m_network.after(Duration(0), std::move(event));
+    }
+
     /// Changes the faults of all links.
     /// @param faults New faults.
     void setNetwork(const NetworkFaults &faults)
@@ -152,6 +194,8 @@
     void perform(AgentProcess &agent, SendReply &action);
     void failAttempt(int entry, std::uint64_t incarnation, AttemptId attempt, TransportFailure failure, Duration delay);
     ClaimResult claim(const KeyClaim &claim);
+    void reach(RequestStep step, int agent);
+    void sendMessage(MessageFault fault, const std::function<void()> &deliver);
     void observeRun(const std::string &body);
     void violate(const std::string &text);
 
@@ -165,6 +209,8 @@
     VirtualNetwork m_network;
     Counters m_counters;
     std::uint64_t m_lastIncarnation = 0;
+    std::function<void(RequestStep, int)> m_stepHook;
+    MessageFault m_messageFault = MessageFault::None;
     std::vector<std::unique_ptr<EntryProcess>> m_entries;
     std::vector<std::unique_ptr<AgentProcess>> m_agents;
     std::vector<std::unique_ptr<EntryProcess>> m_deadEntries;
--- a/tests/schedule/ScheduleWorld.cpp
+++ b/tests/schedule/ScheduleWorld.cpp
@@ -311,6 +311,24 @@
     return valueOf(decodeJobRecord(*m_store.read(jobTable, id).row)).state;
 }
 
+std::uint32_t ScheduleWorld::runOf(const std::string &id) const
+{
+    return valueOf(decodeJobRecord(*m_store.read(jobTable, id).row)).run;
+}
+
+std::string ScheduleWorld::stepOf(const std::string &id) const
+{
+    for (const std::unique_ptr<EntryProcess> &entry : m_entries) {
+        for (const std::unique_ptr<Cell> &cell : entry->cells) {
+            const auto gang = std::ranges::find(cell->gangs(), id, &Gang::job);
+            if (gang != cell->gangs().end()) {
+                return gangPhaseName(gang->phase);
+            }
+        }
+    }
+    return stateOf(id) == JobState::Queued ? "queued" : "";
+}
+
 void ScheduleWorld::cancel(const std::string &id)
 {
     const TableRow row = *m_store.read(jobTable, id).row;
@@ -385,6 +403,14 @@
     m_storeDownUntil = m_network.now() + length;
 }
 
+void ScheduleWorld::loseStoreAnswers(Duration length)
+{
+    m_options.storeLosesAnswer = 1;
+    m_network.after(length, [this] {
+        m_options.storeLosesAnswer = 0;
+    });
+}
+
 void ScheduleWorld::calm()
 {
     m_options.network = NetworkFaults();
--- a/tests/schedule/ScheduleWorld.h
+++ b/tests/schedule/ScheduleWorld.h
@@ -123,6 +123,10 @@
     /// @param length How long.
     void breakStore(Duration length);
 
+    /// Lets the store lose the answers of transactions for a while.
+    /// @param length How long.
+    void loseStoreAnswers(Duration length);
+
     /// Ends all faults of links and store.
     void calm();
 
@@ -149,6 +153,14 @@
     /// @param id Id of the job.
     JobState stateOf(const std::string &id) const;
 
+    /// @return Step of a job at the owner of its cell: the phase of its gang, `queued`, or empty.
+    /// @param id Id of the job.
+    std::string stepOf(const std::string &id) const;
+
+    /// @return Run of a job in the store.
+    /// @param id Id of the job.
+    std::uint32_t runOf(const std::string &id) const;
+
     /// @return Counters of all entries together.
     const Counters &counters() const
     {
