Shed what can't be answered in time, by the spread of service times

Ruled out: routing; attempts per request were the same.

Change: each member keeps the mean deviation of its service time; a request is sent only while the average plus two deviations is left, and the agent's start-by limit is set by the same span.

--- a/src/dispatch/Member.h
+++ b/src/dispatch/Member.h
@@ -15,6 +15,7 @@
     std::uint32_t sentSinceReport = 0; ///< Attempts sent since the last load report.
     std::uint32_t outstanding = 0; ///< Open attempts of this entry at the agent.
     double serviceMicroseconds = 0; ///< Moving average of the time from send to answer; zero when unknown.
+    double deviationMicroseconds = 0; ///< Moving average of the distance from that average.
     double failureRate = 0; ///< Moving average of failed attempts, 0 to 1.
     std::uint32_t samples = 0; ///< Attempts that the averages have seen.
     std::uint32_t ejections = 0; ///< Ejections in a row.
@@ -22,6 +23,13 @@
     bool probing = false; ///< The ejection has ended, but no success was seen yet.
     bool suspect = false; ///< A connection failed since the last announcement.
 
+    /// @return Time within which nearly all answers come, in microseconds; zero when unknown.
+    double longServiceMicroseconds() const
+    {
+        constexpr double deviations = 2;
+        return serviceMicroseconds + deviations * deviationMicroseconds;
+    }
+
     /// @return Attempts at the agent: reported, plus those sent since.
     std::uint32_t load() const
     {
--- a/src/dispatch/MemberTable.cpp
+++ b/src/dispatch/MemberTable.cpp
@@ -4,6 +4,7 @@
 #include "core/Guard.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace banyanlock
 {
@@ -114,7 +115,10 @@
     ++member.samples;
     moveAverage(member.failureRate, succeeded ? 0.0 : 1.0, first);
     if (succeeded) {
-        moveAverage(member.serviceMicroseconds, static_cast<double>(elapsed.count()), member.serviceMicroseconds == 0);
+        const auto sample = static_cast<double>(elapsed.count());
+        const bool firstSuccess = member.serviceMicroseconds == 0;
+        moveAverage(member.deviationMicroseconds, firstSuccess ? 0 : std::abs(sample - member.serviceMicroseconds), firstSuccess);
+        moveAverage(member.serviceMicroseconds, sample, firstSuccess);
         member.probing = false;
         member.ejections = 0;
         return;
--- a/src/dispatch/RequestPipeline.cpp
+++ b/src/dispatch/RequestPipeline.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-constexpr double shortestUsefulShare = 0.5; // of a service time that must be left before the deadline
-
 struct CodeCounter {
     ResultCode code;
     Counter counter;
@@ -225,31 +223,34 @@
 
 // ---- queue
 
-double RequestPipeline::averageServiceMicroseconds(std::string_view service, TimePoint now, std::uint32_t &slots) const
+RequestPipeline::ServiceTimes RequestPipeline::serviceTimes(std::string_view service, TimePoint now) const
 {
-    double weighted = 0;
-    slots = 0;
+    ServiceTimes times;
     for (const Member &member : m_members.members()) {
         if (member.announced.service == service && m_members.isEligible(member, now)) {
-            weighted += member.serviceMicroseconds * member.announced.slots;
-            slots += member.announced.slots;
+            times.averageMicroseconds += member.serviceMicroseconds * member.announced.slots;
+            times.longMicroseconds += member.longServiceMicroseconds() * member.announced.slots;
+            times.slots += member.announced.slots;
         }
     }
-    return slots == 0 ? 0 : weighted / slots;
+    if (times.slots > 0) {
+        times.averageMicroseconds /= times.slots;
+        times.longMicroseconds /= times.slots;
+    }
+    return times;
 }
 
 bool RequestPipeline::canMeetDeadline(const Pending &pending, ServiceQueue &line, TimePoint now) const
 {
-    std::uint32_t slots = 0;
-    const double service = averageServiceMicroseconds(pending.request.service, now, slots);
-    if (slots == 0 || line.queue.size() == 0) {
+    const ServiceTimes times = serviceTimes(pending.request.service, now);
+    if (times.slots == 0 || line.queue.size() == 0) {
         return true;
     }
     // Turns are shared between the workspaces that wait, so the own line counts once for each of them.
     const std::size_t ownTurns
         = (line.queue.sizeOf(pending.request.workspace) + 1) * std::max<std::size_t>(1, line.queue.activeWorkspaces());
     const auto ahead = static_cast<double>(std::min(line.queue.size(), ownTurns));
-    const double expected = ahead * service / slots + service;
+    const double expected = ahead * times.averageMicroseconds / times.slots + times.longMicroseconds;
     return expected <= static_cast<double>((pending.deadline - now).count());
 }
 
@@ -286,10 +287,9 @@
 {
     const RequestHandle handle = *line.queue.front();
     Pending &pending = *find(handle);
-    std::uint32_t slots = 0;
-    const double service = averageServiceMicroseconds(pending.request.service, now, slots);
+    const ServiceTimes times = serviceTimes(pending.request.service, now);
     const auto remaining = static_cast<double>((pending.deadline - now).count());
-    if (remaining < service * shortestUsefulShare) {
+    if (remaining < times.longMicroseconds) {
         line.queue.popFront(m_admission.shareOf(pending.request.workspace));
         refuse(handle, ResultCode::DeadlineUnreachable);
         return true;
@@ -330,8 +330,9 @@
     pending.agentIncarnation = member.announced.incarnation;
     pending.sentAt = now;
     const Duration remaining = pending.deadline - now;
-    const Duration useful(static_cast<std::int64_t>(member.serviceMicroseconds * shortestUsefulShare));
-    pending.startBy = member.agentClockAt(now) + remaining - std::min(useful, remaining / 2);
+    // An answer that comes after the deadline is work for nobody.
+    const Duration useful(static_cast<std::int64_t>(member.longServiceMicroseconds()));
+    pending.startBy = member.agentClockAt(now) + remaining - std::min(useful, remaining * 9 / 10);
     ++member.outstanding;
     ++member.sentSinceReport;
     m_attempts[pending.attempt.sequence] = handle;
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -158,6 +158,13 @@
         TimePoint sentAt{};
     };
 
+    /// What the eligible members of a service take for a request, weighted by their slots.
+    struct ServiceTimes {
+        double averageMicroseconds = 0;
+        double longMicroseconds = 0;
+        std::uint32_t slots = 0;
+    };
+
     struct ServiceQueue {
         std::string service;
         FairQueue queue;
@@ -172,7 +179,7 @@
     void refuse(RequestHandle handle, ResultCode code);
     void enqueue(RequestHandle handle, TimePoint now);
     bool canMeetDeadline(const Pending &pending, ServiceQueue &line, TimePoint now) const;
-    double averageServiceMicroseconds(std::string_view service, TimePoint now, std::uint32_t &slots) const;
+    ServiceTimes serviceTimes(std::string_view service, TimePoint now) const;
     void pump(ServiceQueue &line, TimePoint now);
     void pumpAll(TimePoint now);
     bool sendNext(ServiceQueue &line, TimePoint now);
--- a/tests/dispatch/DispatchWorld.cpp
+++ b/tests/dispatch/DispatchWorld.cpp
@@ -97,8 +97,9 @@
     limits.failureDomain = "fd-" + std::to_string(index % 3);
     limits.region = "region-" + std::to_string(index % 3);
     limits.entryIncarnation = entry->incarnation;
-    entry->pipeline = std::make_unique<RequestPipeline>(limits, CompletionTimePolicy(), entry->timers, m_counters);
-    entry->pipeline->configure(openLimits(), {}, m_network.now());
+    limits.unlimitedRetries = m_options.unlimitedRetries;
+    entry->pipeline = std::make_unique<RequestPipeline>(limits, m_options.policy, entry->timers, m_counters);
+    entry->pipeline->configure(openLimits(), m_options.outDomains, m_network.now());
     const std::uint64_t incarnation = entry->incarnation;
     m_entries[static_cast<std::size_t>(index)] = std::move(entry);
     tickEntry(index, incarnation);
@@ -112,7 +113,7 @@
     agent->clockOffset = fromMilliseconds(m_random.below(1000000));
     GateLimits limits;
     limits.incarnation = agent->incarnation;
-    limits.slots = 2;
+    limits.slots = m_options.slots;
     agent->gate = std::make_unique<AgentGate>(limits, m_counters);
     const std::uint64_t incarnation = agent->incarnation;
     m_agents[static_cast<std::size_t>(index)] = std::move(agent);
@@ -200,7 +201,7 @@
         announcement.address = std::to_string(index);
         announcement.failureDomain = "fd-" + std::to_string(index % 3);
         announcement.region = "region-" + std::to_string(index % 3);
-        announcement.slots = 2;
+        announcement.slots = m_options.slots;
         announcement.queueSlots = 2;
         announcement.load = agent.gate->load(agent.clock(m_network.now()));
         announcement.leaving = agent.gate->isDraining();
@@ -303,8 +304,14 @@
     }
 }
 
-void DispatchWorld::sendMessage(MessageFault fault, const std::function<void()> &deliver)
+void DispatchWorld::sendMessage(MessageFault fault, int entry, int agent, const std::function<void()> &deliver)
 {
+    const Duration distance = entry % 3 == agent % 3 ? Duration::zero() : m_options.crossRegionDelay;
+    const auto travel = [this, distance, deliver] {
+        m_network.send(m_options.network, [this, distance, deliver] {
+            distance == Duration::zero() ? deliver() : m_network.after(distance, deliver);
+        });
+    };
     switch (fault) {
     case MessageFault::Lose:
     case MessageFault::Break:
@@ -313,11 +320,11 @@
         m_network.after(fromMilliseconds(1500), deliver);
         break;
     case MessageFault::Duplicate:
-        m_network.send(m_options.network, deliver);
-        m_network.send(m_options.network, deliver);
+        travel();
+        travel();
         break;
     default:
-        m_network.send(m_options.network, deliver);
+        travel();
         break;
     }
 }
@@ -398,19 +405,20 @@
     }
     // The connection reaches whichever process has the address now.
     const std::uint64_t reached = agent.incarnation;
-    sendMessage(fault, [this, target, reached, message = action.message, from = entry.index, process = entry.incarnation] {
-        AgentProcess &current = *m_agents[static_cast<std::size_t>(target)];
-        const bool crossesRestart = current.incarnation != reached && m_options.network.duplication > 0;
-        if (current.dead || (current.incarnation != reached && !crossesRestart)) {
-            failAttempt(from, process, message.id, TransportFailure::Lost, breakNotice);
-            return;
-        }
-        withAgent(target, current.incarnation, [this, message, from, process](AgentProcess &offered) {
-            offered.replyTo[message.id] = from;
-            offered.replyToIncarnation[message.id] = process;
-            offered.gate->offer(message, offered.clock(m_network.now()));
-        });
-    });
+    sendMessage(fault, entry.index, target,
+                [this, target, reached, message = action.message, from = entry.index, process = entry.incarnation] {
+                    AgentProcess &current = *m_agents[static_cast<std::size_t>(target)];
+                    const bool crossesRestart = current.incarnation != reached && m_options.network.duplication > 0;
+                    if (current.dead || (current.incarnation != reached && !crossesRestart)) {
+                        failAttempt(from, process, message.id, TransportFailure::Lost, breakNotice);
+                        return;
+                    }
+                    withAgent(target, current.incarnation, [this, message, from, process](AgentProcess &offered) {
+                        offered.replyTo[message.id] = from;
+                        offered.replyToIncarnation[message.id] = process;
+                        offered.gate->offer(message, offered.clock(m_network.now()));
+                    });
+                });
     // A broken connection is seen by both ends in the end; whether before or after the answer is a matter of chance.
     if (fault == MessageFault::Break || m_random.chance(m_options.network.loss)) {
         failAttempt(entry.index, entry.incarnation, id, TransportFailure::Lost, Duration(m_random.below(100000)));
@@ -511,11 +519,19 @@
     const AttemptId id = action.message.id;
     BackendResult result;
     Duration time = m_options.serviceTime / 2 + Duration(m_random.below(static_cast<std::uint32_t>(m_options.serviceTime.count())));
-    if (agent.backendBroken) {
+    if (agent.index == m_options.slowAgent) {
+        time = Duration(static_cast<std::int64_t>(static_cast<double>(time.count()) * m_options.slowness));
+    }
+    if (agent.index == m_options.failingAgent) {
+        ++m_totalRuns;
+        result.status = 500;
+        time = Duration(1000);
+    } else if (agent.backendBroken) {
         result.code = ResultCode::BackendUnreachable;
         time = Duration(100);
     } else {
         ++m_runs[body];
+        ++m_totalRuns;
         observeRun(body);
         if (m_random.chance(m_options.backendFailure)) {
             result.code = ResultCode::BackendAnswerTruncated;
@@ -543,7 +559,7 @@
     }
     const int target = agent.replyTo[reply.id];
     const std::uint64_t process = agent.replyToIncarnation[reply.id];
-    sendMessage(fault, [this, target, process, reply] {
+    sendMessage(fault, target, agent.index, [this, target, process, reply] {
         withEntry(target, process, [this, reply](EntryProcess &entry) {
             entry.pipeline->onReply(reply, m_network.now());
         });
@@ -558,7 +574,15 @@
 
 void DispatchWorld::observeRun(const std::string &body)
 {
+    // Only repeats with a key share a body; others are found by their number.
     TimePoint latest{};
+    if (body.starts_with("request-")) {
+        latest = m_requests[std::stoul(body.substr(8))].deadline;
+        if (m_network.now() > latest) {
+            violate(body + " started after its deadline");
+        }
+        return;
+    }
     for (const TrackedRequest &request : m_requests) {
         latest = request.body == body ? std::max(latest, request.deadline) : latest;
     }
--- a/tests/dispatch/DispatchWorld.h
+++ b/tests/dispatch/DispatchWorld.h
@@ -27,6 +27,14 @@
     double backendFailure = 0; ///< Chance that a backend server fails after it ran a request.
     double storeDown = 0; ///< Chance that a claim finds the store down.
     double storeLosesAnswer = 0; ///< Chance that the answer of a claim that took effect is lost.
+    std::uint16_t slots = 2; ///< Slots of each backend server.
+    AnyRoutingPolicy policy; ///< Routing policy of all entries.
+    bool unlimitedRetries = false; ///< Baseline: no retry budget.
+    Duration crossRegionDelay{}; ///< Further delay between regions, one way.
+    int slowAgent = -1; ///< Agent whose backend server is slow, or -1.
+    double slowness = 1; ///< Factor of its service time.
+    int failingAgent = -1; ///< Agent whose backend server answers everything with an error at once, or -1.
+    std::vector<std::string> outDomains; ///< Failure domains that are out.
 };
 
 /// Steps of a request at which faults are injected.
@@ -165,6 +173,18 @@
     /// @return How often a backend server has run it.
     int runsOf(const std::string &body) const;
 
+    /// @return Counters of all processes together.
+    const Counters &counters() const
+    {
+        return m_counters;
+    }
+
+    /// @return Runs at all backend servers.
+    std::uint64_t totalRuns() const
+    {
+        return m_totalRuns;
+    }
+
     /// @return Source of all chances.
     Random &random()
     {
@@ -195,7 +215,7 @@
     void failAttempt(int entry, std::uint64_t incarnation, AttemptId attempt, TransportFailure failure, Duration delay);
     ClaimResult claim(const KeyClaim &claim);
     void reach(RequestStep step, int agent);
-    void sendMessage(MessageFault fault, const std::function<void()> &deliver);
+    void sendMessage(MessageFault fault, int entry, int agent, const std::function<void()> &deliver);
     void observeRun(const std::string &body);
     void violate(const std::string &text);
 
@@ -209,6 +229,7 @@
     VirtualNetwork m_network;
     Counters m_counters;
     std::uint64_t m_lastIncarnation = 0;
+    std::uint64_t m_totalRuns = 0;
     std::function<void(RequestStep, int)> m_stepHook;
     MessageFault m_messageFault = MessageFault::None;
     std::vector<std::unique_ptr<EntryProcess>> m_entries;
