Index gangs by job and plan all messages of a step in one pass

Change: one pass over the gangs for all workers; gangs are found by an index. An agent forgets old attempt ids from the oldest on, instead of going over all of them every 20 ms.

--- a/src/dispatch/AgentGate.cpp
+++ b/src/dispatch/AgentGate.cpp
@@ -69,13 +69,13 @@
         // The first delivery of a duplicate will be answered; a second answer could only contradict it.
         if (code != ResultCode::DuplicateAttempt) {
             // A refusal is final, also for a second delivery of the same message.
-            m_attempts.insert({message.id, {AttemptState::Revoked, message.startBy}});
+            remember(message, AttemptState::Revoked);
             reply(message.id, {code, 0, {}, nullptr}, now);
         }
         return;
     }
     m_counters.add(Counter::AgentAccepted);
-    m_attempts[message.id] = {AttemptState::Queued, message.startBy};
+    remember(message, AttemptState::Queued);
     m_queue.push_back(std::move(message));
     startQueued(now);
 }
@@ -118,6 +118,7 @@
             return RevocationState::Started;
         }
         m_attempts[revocation.id] = {AttemptState::Revoked, revocation.startBy};
+        m_order.push_back(revocation.id);
         return RevocationState::Revoked;
     }
     if (known->second.state == AttemptState::Queued && isEnabled(Guard::AgentTombstone)) {
@@ -172,10 +173,30 @@
         countRefusal(ResultCode::AttemptExpired);
         reply(id, {ResultCode::AttemptExpired, 0, {}, nullptr}, now);
     }
-    std::erase_if(m_attempts, [&](const auto &entry) {
-        const bool done = entry.second.state == AttemptState::Finished || entry.second.state == AttemptState::Revoked;
-        return done && now >= entry.second.startBy + m_limits.rememberFor;
-    });
+    forgetOld(now);
+}
+
+void AgentGate::remember(const AttemptMessage &message, AttemptState state)
+{
+    // A later refusal of an attempt that is known changes nothing.
+    if (m_attempts.insert({message.id, {state, message.startBy}}).second) {
+        m_order.push_back(message.id);
+    }
+}
+
+void AgentGate::forgetOld(TimePoint now)
+{
+    // Only the oldest ids are looked at: going over all of them costs milliseconds at thousands of attempts a second.
+    while (!m_order.empty()) {
+        const auto oldest = m_attempts.find(m_order.front());
+        const AttemptRecord &record = oldest->second;
+        const bool done = record.state == AttemptState::Finished || record.state == AttemptState::Revoked;
+        if (!done || now < record.startBy + m_limits.rememberFor) {
+            return;
+        }
+        m_attempts.erase(oldest);
+        m_order.pop_front();
+    }
 }
 
 bool AgentGate::mayStop() const
--- a/src/dispatch/AgentGate.h
+++ b/src/dispatch/AgentGate.h
@@ -127,6 +127,8 @@
         }
     };
 
+    void remember(const AttemptMessage &message, AttemptState state);
+    void forgetOld(TimePoint now);
     ResultCode check(const AttemptMessage &message, TimePoint now) const;
     void countRefusal(ResultCode code);
     void reply(AttemptId id, const BackendResult &result, TimePoint now);
@@ -136,6 +138,7 @@
     GateLimits m_limits;
     Counters &m_counters;
     std::unordered_map<AttemptId, AttemptRecord, AttemptIdHash> m_attempts;
+    std::deque<AttemptId> m_order; // ids of m_attempts, oldest first
     std::deque<AttemptMessage> m_queue;
     std::vector<GateAction> m_actions;
     std::uint16_t m_running = 0;
--- a/src/schedule/Cell.cpp
+++ b/src/schedule/Cell.cpp
@@ -37,6 +37,7 @@
     m_epoch = epoch;
     m_learned = false;
     m_gangs.clear();
+    m_gangIndex.clear();
     m_firstSeen.clear();
     ++m_term;
     m_workers.reset(m_context.fleet.workersOf(m_failureDomain), now);
@@ -49,6 +50,7 @@
     m_epoch = 0;
     m_learned = false;
     m_gangs.clear();
+    m_gangIndex.clear();
     m_actions.clear();
     m_context.timers.cancel(m_timer);
 }
@@ -131,6 +133,7 @@
         std::erase_if(m_gangs, [](const Gang &gang) {
             return gang.finished;
         });
+        indexGangs();
         schedule(now);
     }
     BANYANLOCK_ASSERT(isSound());
@@ -169,20 +172,29 @@
             // A worker that has left the fleet has left its tasks too; any worker stands in for it, and doesn't know the task.
             gang.placement.push_back({worker < m_workers.all().size() ? worker : 0, task.accelerators});
         }
+        m_gangIndex.emplace(id, m_gangs.size());
         m_gangs.push_back(std::move(gang));
     }
 }
 
+void Cell::indexGangs()
+{
+    m_gangIndex.clear();
+    for (std::size_t index = 0; index < m_gangs.size(); ++index) {
+        m_gangIndex.emplace(m_gangs[index].job, index);
+    }
+}
+
 Gang *Cell::findGang(const std::string &job)
 {
-    const auto found = std::ranges::find(m_gangs, job, &Gang::job);
-    return found == m_gangs.end() ? nullptr : &*found;
+    const auto found = m_gangIndex.find(job);
+    return found == m_gangIndex.end() ? nullptr : &m_gangs[found->second];
 }
 
 const Gang *Cell::findGang(const std::string &job) const
 {
-    const auto found = std::ranges::find(m_gangs, job, &Gang::job);
-    return found == m_gangs.end() ? nullptr : &*found;
+    const auto found = m_gangIndex.find(job);
+    return found == m_gangIndex.end() ? nullptr : &m_gangs[found->second];
 }
 
 std::uint32_t Cell::firstWorker() const
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace banyanlock
@@ -159,6 +160,13 @@
         Lost,
     };
 
+    /// What a worker's next message would carry.
+    struct MessagePlan {
+        std::vector<TaskCommand> commands;
+        TimePoint validUntil{};
+        bool reportWanted = false; // a stop waits for a report that is newer than itself
+    };
+
     // Cell.cpp: ownership, events and steps
     void wake(TimePoint now);
     void step(TimePoint now);
@@ -166,6 +174,7 @@
     void adoptRunningRows(TimePoint now);
     Gang *findGang(const std::string &job);
     const Gang *findGang(const std::string &job) const;
+    void indexGangs();
     CellSnapshot snapshot(TimePoint now) const;
     std::uint32_t firstWorker() const;
 
@@ -211,9 +220,8 @@
 
     // CellMessages.cpp: messages to workers
     void sendMessages(TimePoint now);
-    TimePoint validUntil(std::uint32_t worker, TimePoint now) const;
-    bool isMessageDue(const WorkerState &worker, const std::vector<TaskCommand> &commands, TimePoint now) const;
-    std::vector<TaskCommand> commandsFor(std::uint32_t worker, TimePoint now) const;
+    bool isMessageDue(const WorkerState &worker, const MessagePlan &plan, TimePoint now) const;
+    std::vector<MessagePlan> planMessages(TimePoint now) const;
     std::optional<TaskCommandKind> commandKindFor(const Gang &gang, std::uint32_t task, TimePoint now) const;
     TaskCommand makeCommand(TaskCommandKind kind, const Gang &gang, std::uint32_t task) const;
     void addOrphanCommands(std::vector<TaskCommand> &commands, const WorkerState &worker) const;
@@ -226,6 +234,7 @@
     CellPlanner m_planner;
     CellWorkers m_workers;
     std::vector<Gang> m_gangs;
+    std::unordered_map<std::string, std::size_t> m_gangIndex; // place in m_gangs by job
     std::vector<CellAction> m_actions;
     std::map<std::string, std::uint32_t> m_lastRuns;
     std::map<std::string, TimePoint> m_firstSeen;
--- a/src/schedule/CellGangs.cpp
+++ b/src/schedule/CellGangs.cpp
@@ -169,7 +169,8 @@
         advanceRunning(gang, now);
         return;
     }
-    const bool broken = anyTask(gang, now, {Presence::Unseen, Presence::Stopped, Presence::Checkpointed, Presence::Lost});
+    const bool unprepared = isEnabled(Guard::GangCommit) && anyTask(gang, now, {Presence::Unseen});
+    const bool broken = unprepared || anyTask(gang, now, {Presence::Stopped, Presence::Checkpointed, Presence::Lost});
     if (broken || now >= gang.deadline || anyWorkerSilent(gang, now)) {
         requeue(gang, "a task did not start", false, now);
     }
--- a/src/schedule/CellMessages.cpp
+++ b/src/schedule/CellMessages.cpp
@@ -68,77 +68,66 @@
     }
 }
 
-std::vector<TaskCommand> Cell::commandsFor(std::uint32_t worker, TimePoint now) const
+std::vector<Cell::MessagePlan> Cell::planMessages(TimePoint now) const
 {
-    std::vector<TaskCommand> commands;
-    const WorkerState &state = m_workers.all()[worker];
-    if (!m_learned || state.boot == 0) {
-        return commands;
+    std::vector<MessagePlan> plans(m_workers.all().size());
+    for (MessagePlan &plan : plans) {
+        plan.validUntil = now + m_times.validity;
+    }
+    if (!m_learned) {
+        return plans;
     }
     for (const Gang &gang : m_gangs) {
         for (std::uint32_t task = 0; task < gang.placement.size(); ++task) {
-            if (gang.placement[task].worker != worker) {
+            const std::uint32_t worker = gang.placement[task].worker;
+            const WorkerState &state = m_workers.all()[worker];
+            MessagePlan &plan = plans[worker];
+            plan.reportWanted = plan.reportWanted || (gang.phase == GangPhase::Stopping && state.reportSentAt < gang.stopSince);
+            const std::optional<TaskCommandKind> kind = commandKindFor(gang, task, now);
+            if (!kind || state.boot == 0) {
                 continue;
             }
-            if (const std::optional<TaskCommandKind> kind = commandKindFor(gang, task, now)) {
-                commands.push_back(makeCommand(*kind, gang, task));
+            plan.commands.push_back(makeCommand(*kind, gang, task));
+            if (*kind == TaskCommandKind::Commit) {
+                plan.validUntil = std::min(plan.validUntil, gang.startBy);
             }
         }
     }
-    addOrphanCommands(commands, state);
-    return commands;
-}
-
-TimePoint Cell::validUntil(std::uint32_t worker, TimePoint now) const
-{
-    TimePoint until = now + m_times.validity;
-    for (const Gang &gang : m_gangs) {
-        const bool starts = gang.phase == GangPhase::Starting && now < gang.startBy
-            && std::ranges::any_of(gang.placement, [&](const TaskPlacement &task) {
-                                return task.worker == worker;
-                            });
-        until = starts ? std::min(until, gang.startBy) : until;
+    for (std::uint32_t worker = 0; worker < plans.size(); ++worker) {
+        addOrphanCommands(plans[worker].commands, m_workers.all()[worker]);
     }
-    return until;
+    return plans;
 }
 
-bool Cell::isMessageDue(const WorkerState &worker, const std::vector<TaskCommand> &commands, TimePoint now) const
+bool Cell::isMessageDue(const WorkerState &worker, const MessagePlan &plan, TimePoint now) const
 {
     if (worker.messageUnderWay) {
         return false;
     }
     const Duration sinceSent = now - worker.lastSent;
-    if (sinceSent >= m_times.heartbeat) {
-        return true;
-    }
-    const bool newCommands = !commands.empty() && commands != worker.lastCommands;
-    // A stop waits for a report that is newer than itself.
-    const bool reportWanted = std::ranges::any_of(m_gangs, [&](const Gang &gang) {
-        return gang.phase == GangPhase::Stopping && worker.reportSentAt < gang.stopSince
-            && std::ranges::any_of(gang.placement, [&](const TaskPlacement &task) {
-                   return &m_workers.all()[task.worker] == &worker;
-               });
-    });
-    return newCommands || reportWanted || (!commands.empty() && sinceSent >= repeatInterval);
+    const bool newCommands = !plan.commands.empty() && plan.commands != worker.lastCommands;
+    const bool repeat = !plan.commands.empty() && sinceSent >= repeatInterval;
+    return sinceSent >= m_times.heartbeat || newCommands || plan.reportWanted || repeat;
 }
 
 void Cell::sendMessages(TimePoint now)
 {
-    for (std::uint32_t index = 0; index < m_workers.all().size(); ++index) {
+    std::vector<MessagePlan> plans = planMessages(now);
+    for (std::uint32_t index = 0; index < plans.size(); ++index) {
         WorkerState &worker = m_workers.all()[index];
-        std::vector<TaskCommand> commands = commandsFor(index, now);
-        if (!isMessageDue(worker, commands, now)) {
+        MessagePlan &plan = plans[index];
+        if (!isMessageDue(worker, plan, now)) {
             continue;
         }
+        const bool renews = m_renewalsAllowed && m_workers.isHeard(worker, now);
         WorkerMessage message;
         message.cell = m_failureDomain;
         message.epoch = m_epoch;
         message.boot = worker.boot;
-        message.validUntil = worker.clock + (validUntil(index, now) - worker.clockReadAt);
-        const bool renews = m_renewalsAllowed && m_workers.isHeard(worker, now);
+        message.validUntil = worker.clock + (plan.validUntil - worker.clockReadAt);
         message.lease = renews ? m_times.lease : Duration::zero();
-        message.commands = commands;
-        worker.lastCommands = std::move(commands);
+        message.commands = plan.commands;
+        worker.lastCommands = std::move(plan.commands);
         worker.messageUnderWay = true;
         worker.lastSent = now;
         if (renews) {
--- a/src/schedule/CellSchedule.cpp
+++ b/src/schedule/CellSchedule.cpp
@@ -199,6 +199,7 @@
     gang.phase = planned.victims.empty() ? GangPhase::Preparing : GangPhase::Reclaiming;
     gang.deadline = now + (planned.victims.empty() ? m_times.prepareLimit : m_times.checkpointGrace + reclaimSlack);
     m_context.counters.add(Counter::GangsPlaced);
+    m_gangIndex.emplace(job.id, m_gangs.size());
     m_gangs.push_back(std::move(gang));
 }
 
--- a/tests/schedule/ScheduleWorld.cpp
+++ b/tests/schedule/ScheduleWorld.cpp
@@ -299,6 +299,10 @@
     record.spec = spec;
     record.submitted = m_nextJob;
     record.cell = domainName(static_cast<int>(m_random.below(static_cast<std::uint32_t>(m_options.domains))));
+    if (m_options.routeSubmissions) {
+        const EntryProcess &entry = *m_entries.front();
+        record.cell = JobRouter(m_fleet, *entry.configuration, *entry.plan, entry.jobs).choose(spec, "").value_or(record.cell);
+    }
     TableTransaction transaction;
     transaction.writes.push_back({jobTable, record.id, encodeJobRecord(record)});
     m_store.commit(transaction);
@@ -617,4 +621,44 @@
     return total;
 }
 
+std::vector<std::uint32_t> ScheduleWorld::freeByWorker() const
+{
+    std::vector<std::uint32_t> free;
+    for (const std::unique_ptr<WorkerProcess> &worker : m_workers) {
+        std::uint32_t used = 0;
+        for (const TaskKey &task : worker->model->runningTasks()) {
+            const auto job = m_jobs.find(task.job);
+            used += job == m_jobs.end() ? 0 : job->second.spec.shape.accelerators;
+        }
+        const bool out = m_outSince.contains(worker->model->info().failureDomain);
+        free.push_back(out ? 0 : worker->model->info().accelerators - used);
+    }
+    return free;
+}
+
+std::uint32_t ScheduleWorld::freeAccelerators() const
+{
+    std::uint32_t total = 0;
+    for (const std::uint32_t free : freeByWorker()) {
+        total += free;
+    }
+    return total;
+}
+
+std::uint32_t ScheduleWorld::freeInWholeRacks(std::uint32_t workers, std::uint32_t accelerators) const
+{
+    const std::vector<std::uint32_t> free = freeByWorker();
+    const auto perRack = static_cast<std::size_t>(m_options.workersPerRack);
+    std::uint32_t total = 0;
+    for (std::size_t rack = 0; rack < free.size(); rack += perRack) {
+        const auto fitting = static_cast<std::uint32_t>(std::count_if(free.begin() + static_cast<std::ptrdiff_t>(rack),
+                                                                      free.begin() + static_cast<std::ptrdiff_t>(rack + perRack),
+                                                                      [&](std::uint32_t count) {
+                                                                          return count >= accelerators;
+                                                                      }));
+        total += fitting / workers * workers * accelerators;
+    }
+    return total;
+}
+
 } // namespace banyanlock
--- a/tests/schedule/ScheduleWorld.h
+++ b/tests/schedule/ScheduleWorld.h
@@ -31,6 +31,7 @@
     double storeLosesRequest = 0; ///< Chance that a transaction never reaches the store.
     double staleReads = 0; ///< Chance that rows of an old read are adopted once more.
     double failStarts = 0; ///< Chance that a worker fails everything that it starts.
+    bool routeSubmissions = false; ///< Whether the first entry's router picks the cells of jobs; else chance does.
     CellPolicy policy; ///< Policy of all cells.
     CellTimes times; ///< Times of all cells.
 };
@@ -176,6 +177,14 @@
     /// @return Accelerators in use now.
     std::uint32_t acceleratorsInUse() const;
 
+    /// @return Accelerators that no task runs on, in failure domains that are in.
+    std::uint32_t freeAccelerators() const;
+
+    /// @param workers Workers of one rack that a gang needs.
+    /// @param accelerators Accelerators that it needs on each.
+    /// @return Free accelerators that gangs of this shape could take.
+    std::uint32_t freeInWholeRacks(std::uint32_t workers, std::uint32_t accelerators) const;
+
     /// @return Rows written to the store.
     std::uint64_t rowsWritten() const
     {
@@ -219,6 +228,7 @@
     void observeStart(const TaskKey &task, const WorkerInfo &worker);
     void observeGangs();
     void observeEnds();
+    std::vector<std::uint32_t> freeByWorker() const;
     bool storeIsUp() const;
     bool storeAnswers(const EntryProcess &entry) const;
     CommitResult writeConfiguration(const std::string &key, const std::string &value);
