--- a/src/core/SettingKey.h
+++ b/src/core/SettingKey.h
@@ -159,8 +159,8 @@
         } else if (const auto *word = std::get_if<std::string Settings::*>(&key.member)) {
             fallback = key.required ? fallback : defaults.*(*word);
         }
-        text += "| `" + std::string(key.name) + "` | " + std::string(settingUnitName(key.unit)) + " | " + range + " | " + fallback + " | "
-            + std::string(key.meaning) + " |\n";
+        text.append("| `").append(key.name).append("` | ").append(settingUnitName(key.unit)).append(" | ").append(range);
+        text.append(" | ").append(fallback).append(" | ").append(key.meaning).append(" |\n");
     }
     return text;
 }
--- /dev/null
+++ b/tests/http/HttpServerTest.cpp
@@ -0,0 +1,125 @@
+#include "http/HttpServer.h"
+#include "http/Problem.h"
+#include "platform/HttpClient.h"
+
+#include <arpa/inet.h>
+#include <boost/test/unit_test.hpp>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace banyanlock
+{
+namespace
+{
+
+const Endpoint endpoint{"127.0.0.1", 23851};
+
+/// A server on a thread of its own that echoes bodies.
+class EchoServer
+{
+public:
+    EchoServer()
+        : m_server(m_loop, makeLimits(), [](const ServerRequest &request, const HttpServer::Responder &respond) {
+            ServerResponse response;
+            response.contentType = request.header("content-TYPE").value_or("none");
+            response.body = std::make_shared<const std::string>(request.body + request.parameter("q"));
+            respond(response);
+        })
+    {
+        BOOST_REQUIRE(isOk(m_server.listen(endpoint)));
+        m_thread = std::thread([this] {
+            m_loop.run();
+        });
+    }
+
+    ~EchoServer()
+    {
+        m_loop.post([this] {
+            m_server.stopListening();
+            m_loop.stop();
+        });
+        m_thread.join();
+    }
+
+    static HttpServerLimits makeLimits()
+    {
+        HttpServerLimits limits;
+        limits.bodyBytes = 1000;
+        limits.headerTimeout = fromMilliseconds(200);
+        return limits;
+    }
+
+private:
+    EventLoop m_loop;
+    HttpServer m_server;
+    std::thread m_thread;
+};
+
+HttpReply post(const std::string &path, std::string body)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.url = "http://" + endpoint.toString() + path;
+    request.headers = {{"Content-Type", "text/x"}};
+    request.body = std::move(body);
+    return HttpClient::exchange(request);
+}
+
+/// Sends bytes and reads until the server closes the connection.
+std::string sendRaw(const std::string &bytes)
+{
+    const int connection = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(endpoint.port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    BOOST_REQUIRE(connect(connection, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0);
+    send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    std::string received;
+    char buffer[1024];
+    for (ssize_t count = recv(connection, buffer, sizeof(buffer), 0); count > 0; count = recv(connection, buffer, sizeof(buffer), 0)) {
+        received.append(buffer, static_cast<std::size_t>(count));
+    }
+    close(connection);
+    return received;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(HttpServerTest, EchoServer)
+
+BOOST_AUTO_TEST_CASE(bodyHeadersAndQueryArrive)
+{
+    const HttpReply reply = post("/x?q=a%20b", "body ");
+    BOOST_TEST(reply.status == 200);
+    BOOST_TEST(reply.body == "body a b");
+    BOOST_TEST(reply.contentType == "text/x");
+}
+
+BOOST_AUTO_TEST_CASE(oversizeBodyClosesTheConnectionAndOthersGoOn)
+{
+    BOOST_TEST((post("/", std::string(5000, 'x')).delivery != HttpDelivery::Complete));
+    BOOST_TEST(post("/", "fine").body == "fine");
+}
+
+BOOST_AUTO_TEST_CASE(malformedAndHalfSentRequestsCloseTheConnectionAndOthersGoOn)
+{
+    BOOST_TEST(sendRaw("what is this\r\n\r\n").find("200") == std::string::npos);
+    BOOST_TEST(sendRaw("GET / HTTP/1.1\r\nHost: x\r\n").find("200") == std::string::npos);
+    BOOST_TEST(sendRaw("GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n").find("200") == std::string::npos);
+    BOOST_TEST(post("/", "fine").body == "fine");
+}
+
+BOOST_AUTO_TEST_CASE(problemSaysCodeNameAndOutcome)
+{
+    const ServerResponse response = problemResponse({ResultCode::RateLimited, "too \xFF many"});
+    BOOST_TEST(response.status == 429);
+    BOOST_TEST(response.contentType == "application/problem+json");
+    BOOST_TEST(response.body->find("\"code\":2001,\"name\":\"rate_limited\",\"outcome\":\"not_run\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace banyanlock
