Try idempotent requests elsewhere when their agent falls silent

Change: once the agent's last announcement is older than 1.5 s, the attempt is given up, its late answer is dropped, and the request goes elsewhere under the retry budget. Requests that must not run twice wait as before.

--- a/src/dispatch/MemberTable.cpp
+++ b/src/dispatch/MemberTable.cpp
@@ -35,8 +35,7 @@
         m_counters.add(Counter::MembersJoined);
     } else if (member->announced.incarnation != announcement.incarnation) {
         // A late announcement of an earlier process must not displace its successor, nor may a goodbye.
-        const bool knownIsFresh = now - member->lastHeard <= m_limits.maximumAge;
-        if (announcement.leaving || (knownIsFresh && announcement.incarnation < member->announced.incarnation)) {
+        if (announcement.leaving || (isFresh(*member, now) && announcement.incarnation < member->announced.incarnation)) {
             return;
         }
         *member = Member();
@@ -85,11 +84,10 @@
 
 bool MemberTable::isEligible(const Member &member, TimePoint now) const
 {
-    const bool fresh = now - member.lastHeard <= m_limits.maximumAge;
     const bool leaving = member.announced.leaving && isEnabled(Guard::MemberLeaving);
     const bool serving = !leaving && member.announced.healthy && !member.suspect;
     const bool ejected = now < member.ejectedUntil || (member.probing && member.outstanding > 0);
-    return fresh && serving && !ejected;
+    return isFresh(member, now) && serving && !ejected;
 }
 
 bool MemberTable::knowsService(std::string_view service) const
--- a/src/dispatch/MemberTable.h
+++ b/src/dispatch/MemberTable.h
@@ -70,6 +70,14 @@
     /// @return Whether its news is fresh and it is neither leaving, unhealthy, suspect, nor ejected.
     bool isEligible(const Member &member, TimePoint now) const;
 
+    /// @param member Member to look at.
+    /// @param now Current time.
+    /// @return Whether its last announcement is young enough to act on.
+    bool isFresh(const Member &member, TimePoint now) const
+    {
+        return now - member.lastHeard <= m_limits.maximumAge;
+    }
+
     /// Tells whether any known agent offers a service, eligible or not.
     /// @param service Service to look for.
     /// @return Whether the service is known.
--- a/src/dispatch/PipelineAttempts.cpp
+++ b/src/dispatch/PipelineAttempts.cpp
@@ -253,6 +253,26 @@
     return true;
 }
 
+void RequestPipeline::expireMembers(TimePoint now)
+{
+    for (Pending &pending : m_pending) {
+        if (pending.live && pending.phase == Phase::Attempting && pending.request.idempotent) {
+            leaveSilentAgent(pending, now);
+        }
+    }
+    m_members.expire(now);
+}
+
+void RequestPipeline::leaveSilentAgent(Pending &pending, TimePoint now)
+{
+    const Member *member = m_members.find(pending.agent, pending.agentIncarnation);
+    if (member != nullptr && m_members.isFresh(*member, now)) {
+        return;
+    }
+    closeAttempt(pending);
+    afterUnknown(handleOf(pending), pending, ResultCode::AttemptLost, now);
+}
+
 void RequestPipeline::requeue(RequestHandle handle, Pending &pending, TimePoint now)
 {
     pending.excluded.push_back(pending.agentIncarnation);
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -121,12 +121,10 @@
         return m_members;
     }
 
-    /// Forgets agents that have been silent for long.
+    /// Looks after silent agents: idempotent requests that wait for one are tried elsewhere, and agents that are silent for long are
+    /// forgotten. To be called several times a second.
     /// @param now Current time.
-    void expireMembers(TimePoint now)
-    {
-        m_members.expire(now);
-    }
+    void expireMembers(TimePoint now);
 
 private:
     enum class Phase : std::uint8_t {
@@ -199,6 +197,7 @@
     void afterUnknown(RequestHandle handle, Pending &pending, ResultCode code, TimePoint now);
     bool mayRetry(Pending &pending, ResultCode code, TimePoint now);
     void requeue(RequestHandle handle, Pending &pending, TimePoint now);
+    void leaveSilentAgent(Pending &pending, TimePoint now);
     void revoke(RequestHandle handle, Pending &pending, TimePoint now);
     void onDeadline(RequestHandle handle, TimePoint now);
     void onRevokeTimeout(RequestHandle handle, TimePoint now);
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -14,7 +14,7 @@
 constexpr long connectionsPerHost = 64;
 constexpr Duration heartbeatInterval = fromMilliseconds(500);
 constexpr Duration heartbeatLimit = fromMilliseconds(1000);
-constexpr Duration expiryInterval = fromMilliseconds(1000);
+constexpr Duration expiryInterval = fromMilliseconds(250);
 constexpr Duration idleCheckInterval = fromMilliseconds(50);
 
 HttpServerLimits makeServerLimits(const EntrySettings &settings)
--- a/tests/dispatch/DispatchWorld.cpp
+++ b/tests/dispatch/DispatchWorld.cpp
@@ -13,6 +13,7 @@
 
 constexpr Duration announceInterval = fromMilliseconds(300);
 constexpr Duration tickInterval = fromMilliseconds(5);
+constexpr Duration expiryInterval = fromMilliseconds(250);
 constexpr Duration breakNotice = fromMilliseconds(5); // time until a peer sees that a connection broke
 
 std::string answerTo(const std::string &body)
@@ -31,6 +32,7 @@
     int index = 0;
     std::uint64_t incarnation = 0;
     TimerService timers;
+    TimePoint lastExpiry{};
     std::unique_ptr<RequestPipeline> pipeline;
     std::map<RequestHandle, std::size_t> requests;
 };
@@ -153,7 +155,11 @@
 
 void DispatchWorld::tickEntry(int index, std::uint64_t incarnation)
 {
-    withEntry(index, incarnation, [](EntryProcess &) {
+    withEntry(index, incarnation, [this](EntryProcess &entry) {
+        if (m_network.now() - entry.lastExpiry >= expiryInterval) {
+            entry.lastExpiry = m_network.now();
+            entry.pipeline->expireMembers(m_network.now());
+        }
     });
     m_network.after(tickInterval, [this, index, incarnation] {
         if (m_entries[static_cast<std::size_t>(index)]->incarnation == incarnation) {
--- /dev/null
+++ b/tests/dispatch/RequestPipelineTest.cpp
@@ -0,0 +1,97 @@
+#include "dispatch/RequestPipeline.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace banyanlock
+{
+namespace
+{
+
+const TimePoint start{fromMilliseconds(1000)};
+
+struct Fixture {
+    TimerService timers;
+    Counters counters;
+    RequestPipeline pipeline{{"fd", "region", 1}, CompletionTimePolicy(), timers, counters};
+
+    Fixture()
+    {
+        pipeline.configure({{"w", 1000, 1000, 1}}, {}, start);
+    }
+
+    void announce(const std::string &agent, std::uint64_t incarnation, TimePoint now)
+    {
+        Announcement announcement;
+        announcement.agent = agent;
+        announcement.address = agent;
+        announcement.incarnation = incarnation;
+        announcement.service = "s";
+        announcement.failureDomain = "fd";
+        announcement.region = "region";
+        announcement.slots = 8;
+        announcement.load.clock = now;
+        pipeline.announce(announcement, now);
+    }
+
+    void request(bool idempotent)
+    {
+        CallerRequest request;
+        request.workspace = "w";
+        request.service = "s";
+        request.idempotent = idempotent;
+        request.timeout = fromMilliseconds(10000);
+        pipeline.start(std::move(request), start);
+    }
+
+    /// Addresses that attempts are sent to since the last call.
+    std::vector<std::string> attempts()
+    {
+        std::vector<std::string> addresses;
+        for (const PipelineAction &action : pipeline.takeActions()) {
+            if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action)) {
+                addresses.push_back(attempt->address);
+            }
+        }
+        return addresses;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RequestPipelineTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(idempotentRequestLeavesAnAgentThatFellSilent)
+{
+    announce("silent", 1, start);
+    request(true);
+    BOOST_TEST(attempts() == std::vector<std::string>{"silent"});
+    const TimePoint later = start + fromMilliseconds(1600);
+    announce("other", 2, later);
+    pipeline.expireMembers(later);
+    BOOST_TEST(attempts() == std::vector<std::string>{"other"});
+}
+
+BOOST_AUTO_TEST_CASE(requestThatMustNotRunTwiceWaitsForItsAgent)
+{
+    announce("silent", 1, start);
+    request(false);
+    attempts();
+    const TimePoint later = start + fromMilliseconds(1600);
+    announce("other", 2, later);
+    pipeline.expireMembers(later);
+    BOOST_TEST(attempts().empty());
+}
+
+BOOST_AUTO_TEST_CASE(agentWhoseConnectionEndedGetsNothingUntilItIsHeardAgain)
+{
+    announce("a", 1, start);
+    pipeline.onDisconnected("a");
+    request(true);
+    BOOST_TEST(attempts().empty());
+    announce("a", 1, start + fromMilliseconds(300));
+    BOOST_TEST(attempts() == std::vector<std::string>{"a"});
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace banyanlock
