Log each gang's steps and each request whose outcome is unknown

Cause: the logs named jobs only at their submission; operators could not see why a gang was stopped, nor which attempts ended unknown. Change: cells report started, stopping and closed with job, run and reason; the entry logs unknown outcomes with their attempt, which the backend server got in a header.

--- a/bench/ScheduleBench.cpp
+++ b/bench/ScheduleBench.cpp
@@ -155,8 +155,10 @@
     JobSpec guaranteed = filler;
     guaranteed.workspace = "tracing";
     guaranteed.shape = {3, 8, 1, 0, Adjacency::Rack};
+    constexpr int guaranteedGangs = 3;
     std::vector<std::string> ids;
-    for (int gang = 0; gang < 3; ++gang) {
+    ids.reserve(guaranteedGangs);
+    for (int gang = 0; gang < guaranteedGangs; ++gang) {
         ids.push_back(world.submit(guaranteed));
     }
     JobSpec urgent = filler;
--- a/src/entry/CellHost.cpp
+++ b/src/entry/CellHost.cpp
@@ -249,6 +249,13 @@
     });
 }
 
+void CellHost::carryOut(Cell &cell, ReportGang &action)
+{
+    Log::info(
+        action.event,
+        {{"cell", cell.failureDomain()}, {"job", action.job}, {"run", static_cast<std::int64_t>(action.run)}, {"reason", action.reason}});
+}
+
 void CellHost::carryOut(Cell &cell, CommitJob &action)
 {
     m_table.commit(action.transaction, [&cell, job = action.job](const CommitResult &result) {
--- a/src/entry/CellHost.h
+++ b/src/entry/CellHost.h
@@ -76,6 +76,7 @@
     void carryOut(Cell &cell, SendWorkerMessage &action);
     void carryOut(Cell &cell, CommitJob &action);
     void carryOut(Cell &cell, RefreshJob &action);
+    static void carryOut(Cell &cell, ReportGang &action);
 
     EntryIdentity m_identity;
     EventLoop &m_loop;
--- a/src/entry/RequestService.cpp
+++ b/src/entry/RequestService.cpp
@@ -150,7 +150,9 @@
     const CallerAnswer &answer = action.answer;
     const std::string attempt = answer.attempt.sequence == 0 ? "" : answer.attempt.toString();
     if (answer.outcome != Outcome::Answered) {
-        Log::write(LogLevel::Debug, "request_refused", {{"code", std::int64_t(answer.code)}, {"attempt", attempt}});
+        const bool unknown = answer.outcome == Outcome::Unknown;
+        Log::write(unknown ? LogLevel::Warning : LogLevel::Debug, unknown ? "request_unknown" : "request_refused",
+                   {{"code", std::int64_t(answer.code)}, {"attempt", attempt}});
         respond(problemResponse({answer.code, ""}, answer.outcome, attempt));
         return;
     }
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -69,6 +69,12 @@
     /// Gives the cell up: nothing is sent any more.
     void disown();
 
+    /// @return Failure domain of the cell.
+    const std::string &failureDomain() const
+    {
+        return m_failureDomain;
+    }
+
     /// @return Whether this entry owns the cell.
     bool isOwned() const
     {
--- a/src/schedule/CellAction.h
+++ b/src/schedule/CellAction.h
@@ -28,7 +28,15 @@
     std::string job; ///< Id of the job.
 };
 
+/// Tells operators of a gang's step.
+struct ReportGang {
+    const char *event = ""; ///< Name of the log line's event.
+    std::string job; ///< Id of the job.
+    std::uint32_t run = 0; ///< Run of the job.
+    std::string reason; ///< Why, for people; may be empty.
+};
+
 /// What a cell asks its shell to do.
-using CellAction = std::variant<SendWorkerMessage, CommitJob, RefreshJob>;
+using CellAction = std::variant<SendWorkerMessage, CommitJob, RefreshJob, ReportGang>;
 
 } // namespace banyanlock
--- a/src/schedule/CellGangs.cpp
+++ b/src/schedule/CellGangs.cpp
@@ -166,6 +166,7 @@
     if (everyTask(gang, now, {Presence::Running, Presence::Succeeded, Presence::Failed})) {
         gang.phase = GangPhase::Running;
         m_context.counters.add(Counter::GangsStarted);
+        m_actions.emplace_back(ReportGang{"gang_started", gang.job, gang.run, ""});
         advanceRunning(gang, now);
         return;
     }
@@ -216,6 +217,9 @@
     gang.useCheckpoint = useCheckpoint;
     gang.deadline = useCheckpoint ? now + m_times.checkpointGrace : now;
     gang.stopSince = now;
+    if (gang.recorded) {
+        m_actions.emplace_back(ReportGang{"gang_stopping", gang.job, gang.run, gang.outcome.reason});
+    }
     advanceStopping(gang, now);
 }
 
@@ -374,6 +378,7 @@
             constexpr std::array counters{Counter::JobsSucceeded, Counter::JobsFailed, Counter::JobsCancelled};
             m_context.counters.add(counters[static_cast<std::size_t>(state) - static_cast<std::size_t>(JobState::Succeeded)]);
         }
+        m_actions.emplace_back(ReportGang{"gang_closed", gang.job, gang.run, jobStateName(state)});
         gang.finished = true;
         return;
     }
--- a/tests/schedule/ScheduleWorld.h
+++ b/tests/schedule/ScheduleWorld.h
@@ -221,6 +221,9 @@
     void perform(EntryProcess &entry, std::size_t cell, SendWorkerMessage &action);
     void perform(EntryProcess &entry, std::size_t cell, CommitJob &action);
     void perform(EntryProcess &entry, std::size_t cell, RefreshJob &action);
+    void perform(EntryProcess &, std::size_t, ReportGang &)
+    {
+    }
     void tickEntry(int index, std::uint64_t incarnation);
     void tickWorkers();
     void poll(EntryProcess &entry);
