--- a/tests/dispatch/DispatchWorld.cpp
+++ b/tests/dispatch/DispatchWorld.cpp
@@ -55,7 +55,7 @@
     }
 };
 
-DispatchWorld::DispatchWorld(std::uint64_t seed, DispatchOptions options)
+DispatchWorld::DispatchWorld(std::uint64_t seed, const DispatchOptions &options)
     : m_random(seed)
     , m_options(options)
     , m_network(m_random)
@@ -118,7 +118,7 @@
     tickAgent(index, incarnation);
 }
 
-void DispatchWorld::withEntry(int index, std::uint64_t incarnation, std::function<void(EntryProcess &)> event)
+void DispatchWorld::withEntry(int index, std::uint64_t incarnation, const std::function<void(EntryProcess &)> &event)
 {
     EntryProcess &entry = *m_entries[static_cast<std::size_t>(index)];
     if (entry.incarnation != incarnation) {
@@ -137,7 +137,7 @@
     settle(entry);
 }
 
-void DispatchWorld::withAgent(int index, std::uint64_t incarnation, std::function<void(AgentProcess &)> event)
+void DispatchWorld::withAgent(int index, std::uint64_t incarnation, const std::function<void(AgentProcess &)> &event)
 {
     AgentProcess &agent = *m_agents[static_cast<std::size_t>(index)];
     if (agent.incarnation != incarnation || agent.dead) {
--- a/tests/dispatch/DispatchWorld.h
+++ b/tests/dispatch/DispatchWorld.h
@@ -78,7 +78,7 @@
 public:
     /// @param seed Seed of all chances.
     /// @param options Size and faults.
-    DispatchWorld(std::uint64_t seed, DispatchOptions options);
+    DispatchWorld(std::uint64_t seed, const DispatchOptions &options);
 
     ~DispatchWorld();
 
@@ -198,8 +198,8 @@
     void startEntry(int index);
     void startAgent(int index);
     void announceAll(int index, std::uint64_t incarnation);
-    void withEntry(int index, std::uint64_t incarnation, std::function<void(EntryProcess &)> event);
-    void withAgent(int index, std::uint64_t incarnation, std::function<void(AgentProcess &)> event);
+    void withEntry(int index, std::uint64_t incarnation, const std::function<void(EntryProcess &)> &event);
+    void withAgent(int index, std::uint64_t incarnation, const std::function<void(AgentProcess &)> &event);
     void settle(EntryProcess &entry);
     void settle(AgentProcess &agent);
     void tickEntry(int index, std::uint64_t incarnation);
