Say the same step once in gangs, gate and member table

Cause, found by reading the whole change again: a gang's start after its record stood twice and its release three times; the gate refused expired attempts and remembered ids in two places each; the member table saved and restored a load that was then overwritten. Change: beginStarting, release, refuseExpired, remember; the dead copy is gone. The process tests were not run again.

--- a/src/dispatch/AgentGate.cpp
+++ b/src/dispatch/AgentGate.cpp
@@ -69,13 +69,13 @@
         // The first delivery of a duplicate will be answered; a second answer could only contradict it.
         if (code != ResultCode::DuplicateAttempt) {
             // A refusal is final, also for a second delivery of the same message.
-            remember(message, AttemptState::Revoked);
+            remember(message.id, message.startBy, AttemptState::Revoked);
             reply(message.id, {code, 0, {}, nullptr}, now);
         }
         return;
     }
     m_counters.add(Counter::AgentAccepted);
-    remember(message, AttemptState::Queued);
+    remember(message.id, message.startBy, AttemptState::Queued);
     m_queue.push_back(std::move(message));
     startQueued(now);
 }
@@ -87,9 +87,7 @@
         m_queue.pop_front();
         AttemptRecord &record = m_attempts[message.id];
         if (now >= message.startBy && isEnabled(Guard::AgentStartBy)) {
-            record.state = AttemptState::Revoked;
-            countRefusal(ResultCode::AttemptExpired);
-            reply(message.id, {ResultCode::AttemptExpired, 0, {}, nullptr}, now);
+            refuseExpired(message.id, now);
             continue;
         }
         BANYANLOCK_ASSERT(record.state == AttemptState::Queued || !isEnabled(Guard::AgentTombstone));
@@ -117,8 +115,7 @@
         if (now >= revocation.startBy + m_limits.rememberFor) {
             return RevocationState::Started;
         }
-        m_attempts[revocation.id] = {AttemptState::Revoked, revocation.startBy};
-        m_order.push_back(revocation.id);
+        remember(revocation.id, revocation.startBy, AttemptState::Revoked);
         return RevocationState::Revoked;
     }
     if (known->second.state == AttemptState::Queued && isEnabled(Guard::AgentTombstone)) {
@@ -158,6 +155,13 @@
     m_actions.emplace_back(SendReply{std::move(reply)});
 }
 
+void AgentGate::refuseExpired(AttemptId id, TimePoint now)
+{
+    m_attempts[id].state = AttemptState::Revoked;
+    countRefusal(ResultCode::AttemptExpired);
+    reply(id, {ResultCode::AttemptExpired, 0, {}, nullptr}, now);
+}
+
 void AgentGate::expire(TimePoint now)
 {
     std::vector<AttemptId> late;
@@ -169,18 +173,16 @@
         return isLate;
     });
     for (const AttemptId &id : late) {
-        m_attempts[id].state = AttemptState::Revoked;
-        countRefusal(ResultCode::AttemptExpired);
-        reply(id, {ResultCode::AttemptExpired, 0, {}, nullptr}, now);
+        refuseExpired(id, now);
     }
     forgetOld(now);
 }
 
-void AgentGate::remember(const AttemptMessage &message, AttemptState state)
+void AgentGate::remember(AttemptId id, TimePoint startBy, AttemptState state)
 {
     // A later refusal of an attempt that is known changes nothing.
-    if (m_attempts.insert({message.id, {state, message.startBy}}).second) {
-        m_order.push_back(message.id);
+    if (m_attempts.insert({id, {state, startBy}}).second) {
+        m_order.push_back(id);
     }
 }
 
--- a/src/dispatch/AgentGate.h
+++ b/src/dispatch/AgentGate.h
@@ -127,7 +127,8 @@
         }
     };
 
-    void remember(const AttemptMessage &message, AttemptState state);
+    void remember(AttemptId id, TimePoint startBy, AttemptState state);
+    void refuseExpired(AttemptId id, TimePoint now);
     void forgetOld(TimePoint now);
     ResultCode check(const AttemptMessage &message, TimePoint now) const;
     void countRefusal(ResultCode code);
--- a/src/dispatch/MemberTable.cpp
+++ b/src/dispatch/MemberTable.cpp
@@ -50,9 +50,7 @@
     if (announcement.load.clock < member->announced.load.clock) {
         return;
     }
-    const AgentLoad load = member->announced.load;
     member->announced = announcement;
-    member->announced.load = load;
     member->announced.leaving = leaving;
     member->lastHeard = now;
     member->suspect = false;
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -201,6 +201,8 @@
     void close(Gang &gang, TimePoint now);
     void stop(Gang &gang, GangOutcome outcome, bool useCheckpoint, TimePoint now);
     void requeue(Gang &gang, const std::string &reason, bool useCheckpoint, TimePoint now);
+    void beginStarting(Gang &gang, TimePoint now);
+    void release(Gang &gang, TimePoint now);
     void onRecordResult(Gang &gang, const CommitResult &result, TimePoint now);
     void onCloseResult(Gang &gang, const CommitResult &result, TimePoint now);
     void adoptWritten(Gang &gang, std::uint64_t version);
--- a/src/schedule/CellGangs.cpp
+++ b/src/schedule/CellGangs.cpp
@@ -154,8 +154,7 @@
 {
     const bool ready = isEnabled(Guard::GangCommit) ? everyTask(gang, now, {Presence::Prepared}) : anyTask(gang, now, {Presence::Prepared});
     if (!isWanted(gang) || now >= gang.deadline || anyWorkerSilent(gang, now)) {
-        stop(gang, {}, false, now);
-        m_context.counters.add(Counter::GangsReleased);
+        release(gang, now);
     } else if (ready) {
         record(gang, now);
     }
@@ -347,20 +346,30 @@
     m_context.jobs.adopt(std::move(gang.written));
 }
 
+void Cell::beginStarting(Gang &gang, TimePoint now)
+{
+    gang.transactionSent = false;
+    gang.recorded = true;
+    gang.phase = GangPhase::Starting;
+    gang.deadline = std::max(now, gang.startBy) + m_times.heartbeat;
+}
+
+void Cell::release(Gang &gang, TimePoint now)
+{
+    stop(gang, {}, false, now);
+    m_context.counters.add(Counter::GangsReleased);
+}
+
 void Cell::onRecordResult(Gang &gang, const CommitResult &result, TimePoint now)
 {
     switch (result.state) {
     case CommitState::Committed:
         adoptWritten(gang, result.version);
-        gang.transactionSent = false;
-        gang.recorded = true;
-        gang.phase = GangPhase::Starting;
-        gang.deadline = std::max(now, gang.startBy) + m_times.heartbeat;
+        beginStarting(gang, now);
         break;
     case CommitState::NotSent:
         m_storeRetryAt = now + storeRetryDelay;
-        stop(gang, {}, false, now);
-        m_context.counters.add(Counter::GangsReleased);
+        release(gang, now);
         break;
     case CommitState::Conflict:
     case CommitState::Unknown:
@@ -408,15 +417,11 @@
         return;
     }
     const JobRecord &record = *m_context.jobs.find(job);
-    gang->transactionSent = false;
     if (isRecordOf(record, *gang)) {
         m_context.counters.add(Counter::StoreUnknownSettled);
-        gang->recorded = true;
-        gang->phase = GangPhase::Starting;
-        gang->deadline = std::max(now, gang->startBy) + m_times.heartbeat;
+        beginStarting(*gang, now);
     } else {
-        stop(*gang, {}, false, now);
-        m_context.counters.add(Counter::GangsReleased);
+        release(*gang, now);
     }
     wake(now);
 }
