Count connections that close without a whole request

Change: a connection state listener and the error calls of RESTinio's logger feed three counters: accepted, closed without a request, error. Before: no figure. After: HttpServerTest counts one for a half-sent request and one more, with an error, for a malformed one; bad_input_test sees the counter of a connection that is closed within its request line rise in /metrics.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -40,9 +40,10 @@
     , m_jobs(m_mirror, m_table, m_identity.name, m_identity.incarnation)
     , m_cells(m_identity, m_loop, m_mirror, m_table, m_http, m_peers, m_settings.peers.size(), m_counters)
     , m_api({m_identity, m_mirror, m_writer, m_requests, m_jobs, m_cells, m_peers, m_counters, m_draining})
-    , m_server(m_loop, makeServerLimits(m_settings), [this](const ServerRequest &request, const HttpServer::Responder &respond) {
-        m_api.handle(request, respond);
-    })
+    , m_server(m_loop, makeServerLimits(m_settings), m_counters,
+               [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+                   m_api.handle(request, respond);
+               })
 {
 }
 
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,8 @@
 #include "http/HttpServer.h"
 
+#include "http/ConnectionErrorCounter.h"
+#include "http/ConnectionEvents.h"
+
 #include <algorithm>
 #include <restinio/all.hpp>
 #include <strings.h>
@@ -10,7 +13,8 @@
 namespace
 {
 
-struct ServerTraits : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, restinio::null_logger_t> {
+struct ServerTraits : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, ConnectionErrorCounter> {
+    using connection_state_listener_t = ConnectionEvents; // NOLINT(readability-identifier-naming): the library names it
     static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming): the library names it
 };
 
@@ -83,9 +87,11 @@
 class HttpServer::Impl
 {
 public:
-    Impl(EventLoop &loop, HttpServerLimits limits, Handler handler)
+    Impl(EventLoop &loop, HttpServerLimits limits, Counters &counters, Handler handler)
         : m_loop(loop)
         , m_limits(limits)
+        , m_counters(counters)
+        , m_connections(std::make_shared<ConnectionEvents>(counters))
         , m_handler(std::move(handler))
     {
     }
@@ -100,6 +106,8 @@
                 .handle_request_timeout(m_limits.requestTimeout)
                 .write_http_response_timelimit(std::chrono::seconds(30))
                 .max_parallel_connections(m_limits.connections)
+                .logger(m_counters)
+                .connection_state_listener(m_connections)
                 .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                               .max_url_size(8192)
                                               .max_field_name_size(256)
@@ -131,6 +139,7 @@
 private:
     restinio::request_handling_status_t serveOne(const restinio::request_handle_t &handle)
     {
+        m_connections->onRequest(handle->connection_id());
         m_loop.runEvent([&] {
             m_handler(readRequest(handle), [this, handle](const ServerResponse &response) {
                 if (response.truncateBody) {
@@ -145,13 +154,15 @@
 
     EventLoop &m_loop;
     HttpServerLimits m_limits;
+    Counters &m_counters;
+    std::shared_ptr<ConnectionEvents> m_connections;
     Handler m_handler;
     bool m_closing = false;
     std::unique_ptr<restinio::http_server_t<ServerTraits>> m_server;
 };
 
-HttpServer::HttpServer(EventLoop &loop, HttpServerLimits limits, Handler handler)
-    : m_impl(std::make_unique<Impl>(loop, limits, std::move(handler)))
+HttpServer::HttpServer(EventLoop &loop, HttpServerLimits limits, Counters &counters, Handler handler)
+    : m_impl(std::make_unique<Impl>(loop, limits, counters, std::move(handler)))
 {
 }
 
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Counters.h"
 #include "core/Endpoint.h"
 #include "core/Result.h"
 #include "dispatch/AttemptMessage.h"
@@ -66,8 +67,9 @@
 
     /// @param loop Loop to run on.
     /// @param limits Limits of the server.
+    /// @param counters Where connections are counted.
     /// @param handler Called for each whole request.
-    HttpServer(EventLoop &loop, HttpServerLimits limits, Handler handler);
+    HttpServer(EventLoop &loop, HttpServerLimits limits, Counters &counters, Handler handler);
 
     ~HttpServer();
 
--- a/standins/StandinServer.cpp
+++ b/standins/StandinServer.cpp
@@ -26,7 +26,7 @@
 StandinServer::StandinServer(EventLoop &loop, Act act)
     : m_loop(loop)
     , m_act(std::move(act))
-    , m_controlServer(loop, {}, [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+    , m_controlServer(loop, {}, m_counters, [this](const ServerRequest &request, const HttpServer::Responder &respond) {
         handleControl(request, respond);
     })
 {
@@ -35,7 +35,7 @@
 Result<Done> StandinServer::listen(const Endpoint &service, const Endpoint &control)
 {
     m_service = service;
-    m_serviceServer = std::make_unique<HttpServer>(m_loop, HttpServerLimits(),
+    m_serviceServer = std::make_unique<HttpServer>(m_loop, HttpServerLimits(), m_counters,
                                                    [this](const ServerRequest &request, const HttpServer::Responder &respond) {
                                                        handle(request, respond);
                                                    });
--- a/standins/StandinServer.h
+++ b/standins/StandinServer.h
@@ -53,6 +53,7 @@
     void applyFault(const Fault &fault);
 
     EventLoop &m_loop;
+    Counters m_counters;
     Act m_act;
     std::function<ServerResponse(const ServerRequest &)> m_control;
     Fault m_fault;
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -21,7 +21,7 @@
 {
 public:
     EchoServer()
-        : m_server(m_loop, makeLimits(), [](const ServerRequest &request, const HttpServer::Responder &respond) {
+        : m_server(m_loop, makeLimits(), m_counters, [](const ServerRequest &request, const HttpServer::Responder &respond) {
             ServerResponse response;
             response.contentType = request.header("content-TYPE").value_or("none");
             response.body = std::make_shared<const std::string>(request.body + request.parameter("q"));
@@ -51,8 +51,16 @@
         return limits;
     }
 
+    /// @param counter Which counter.
+    /// @return Its value.
+    std::uint64_t value(Counter counter) const
+    {
+        return m_counters.value(counter);
+    }
+
 private:
     EventLoop m_loop;
+    Counters m_counters;
     HttpServer m_server;
     std::thread m_thread;
 };
@@ -112,6 +120,18 @@
     BOOST_TEST(post("/", "fine").body == "fine");
 }
 
+BOOST_AUTO_TEST_CASE(connectionsWithoutWholeRequestAreCounted)
+{
+    post("/", "whole");
+    BOOST_TEST(value(Counter::ConnectionsWithoutRequest) == 0U);
+    sendRaw("GET / HTTP/1.1\r\nHost: x\r\n");
+    BOOST_TEST(value(Counter::ConnectionsWithoutRequest) == 1U);
+    BOOST_TEST(value(Counter::ConnectionErrors) == 0U);
+    sendRaw("what is this\r\n\r\n");
+    BOOST_TEST(value(Counter::ConnectionsWithoutRequest) == 2U);
+    BOOST_TEST(value(Counter::ConnectionErrors) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(problemSaysCodeNameAndOutcome)
 {
     const ServerResponse response = problemResponse({ResultCode::RateLimited, "too \xFF many"});
--- a/tests/process/bad_input_test.sh
+++ b/tests/process/bad_input_test.sh
@@ -43,4 +43,11 @@
 "$banyanlock" entry --settings /nowhere.yaml 2>/dev/null || code=$?
 check "missing settings exit with 2" test "$code" = 2
 check "good requests are still answered" "$banyanlock" request quote "$run/ready.txt" --workspace quotes --idempotent
+exec 3<>"/dev/tcp/${entry_http[0]%:*}/${entry_http[0]#*:}"
+printf 'GET /healthz HTTP/1.1\r\nHost' >&3
+exec 3>&-
+half_open_is_counted() {
+    curl -fsS "$entry/metrics" | grep -q 'event="closed_without_request"} [1-9]'
+}
+check "a connection closed within a request is counted" wait_for 5 half_open_is_counted
 check "the refusals were counted" grep -q 'reason="malformed_request"} [1-9]' <(curl -fsS "$entry/metrics")
