Keep cells through a planned stop while the store is down

Cause: an entry told to stop gave its cells up before it wrote their rows. With the store down nobody could take them, and all their gangs stopped when the leases ran out. Change: a cell is kept, and its leases renewed, until its row says otherwise; a stop waits for the store and says so in the log; entries that are shutting down still count as heard for the rule on renewals. A failed record holds placements back until the tables have been read again. Before and after, store_outage_test with the owner told to stop in the outage: gang gone after 12 s; now its four tasks run on, the owner ends with 0 when the store is back, and the next owner goes on with run 1. An owner that dies in the outage still takes its cell's work with it.

--- a/src/entry/CellHost.cpp
+++ b/src/entry/CellHost.cpp
@@ -17,7 +17,7 @@
 constexpr Duration lookInterval = fromMilliseconds(250);
 constexpr Duration discoveryTime = fromMilliseconds(1500); // for the first heartbeats of the peers
 constexpr Duration takeoverAfter = fromMilliseconds(3500); // the owner may be known only from its row
-constexpr Duration contactLimit = fromMilliseconds(5000);
+constexpr Duration contactLimit = fromMilliseconds(2500);
 constexpr long workerTimeoutMilliseconds = 1000;
 
 std::uint64_t rendezvousWeight(const std::string &failureDomain, const std::string &entry)
@@ -95,7 +95,11 @@
 void CellHost::look(TimePoint now)
 {
     updateRenewals(now);
-    if (m_draining || now - m_startedAt < discoveryTime || !m_mirror.configuration().isReady()) {
+    if (m_draining) {
+        releaseAll(now);
+        return;
+    }
+    if (now - m_startedAt < discoveryTime || !m_mirror.configuration().isReady()) {
         return;
     }
     for (const std::string &failureDomain : m_mirror.fleet().failureDomains()) {
@@ -105,6 +109,9 @@
 
 void CellHost::lookAt(const std::string &failureDomain, TimePoint now)
 {
+    if (m_writing.contains(failureDomain)) {
+        return;
+    }
     const CellRow row = m_mirror.cell(failureDomain);
     const bool isMine = row.entry == m_identity.name && row.incarnation == m_identity.incarnation;
     Cell *cell = find(failureDomain);
@@ -113,9 +120,6 @@
         m_counters.add(Counter::CellsLost);
         cell->disown();
     }
-    if (m_writing.contains(failureDomain)) {
-        return;
-    }
     const bool preferred = preferredEntry(failureDomain, now) == m_identity.name;
     if (isMine) {
         if (cell == nullptr || !cell->isOwned()) {
@@ -162,32 +166,59 @@
 
 void CellHost::release(const std::string &failureDomain, const CellRow &row)
 {
-    Log::info("cell_released", {{"cell", failureDomain}});
-    find(failureDomain)->disown();
-    ++m_releasing;
-    writeRow(failureDomain, row, "", [this] {
-        --m_releasing;
+    // The cell is kept until its row says otherwise, so that its leases don't lapse when the row can't be written.
+    writeRow(failureDomain, row, "", [this, failureDomain] {
+        if (m_mirror.cell(failureDomain).entry != m_identity.name) {
+            Log::info("cell_released", {{"cell", failureDomain}});
+            find(failureDomain)->disown();
+        }
     });
 }
 
 void CellHost::drain()
 {
     m_draining = true;
+    releaseAll(EventLoop::now());
+}
+
+void CellHost::releaseAll(TimePoint now)
+{
     for (std::size_t index = 0; index < m_cells.size(); ++index) {
-        if (m_cells[index]->isOwned()) {
-            release(m_cellNames[index], m_mirror.cell(m_cellNames[index]));
+        const std::string &name = m_cellNames[index];
+        if (!m_cells[index]->isOwned() || m_writing.contains(name)) {
+            continue;
+        }
+        const CellRow row = m_mirror.cell(name);
+        if (row.version != m_cells[index]->epoch()) {
+            m_cells[index]->disown();
+        } else if (storeAnswers(now)) {
+            release(name, row);
+        } else if (!m_keptForStore) {
+            m_keptForStore = true;
+            Log::warning("stop_waits_for_store", {{"cell", name}});
         }
     }
 }
 
+bool CellHost::mayStop() const
+{
+    return m_draining && std::ranges::none_of(m_cells, [](const std::unique_ptr<Cell> &cell) {
+               return cell->isOwned();
+           });
+}
+
+bool CellHost::storeAnswers(TimePoint now) const
+{
+    return now - m_mirror.lastContact() <= contactLimit;
+}
+
 void CellHost::updateRenewals(TimePoint now)
 {
-    const bool storeAnswers = now - m_mirror.lastContact() <= contactLimit;
-    const std::vector<PeerHeartbeat> peers = m_peers.live(now);
+    const std::vector<PeerHeartbeat> peers = m_peers.heard(now);
     const bool peersKnowNothingNewer = peers.size() >= m_peerCount && std::ranges::all_of(peers, [this](const PeerHeartbeat &peer) {
                                            return peer.storeVersion <= m_mirror.version();
                                        });
-    if (storeAnswers || peersKnowNothingNewer) {
+    if (storeAnswers(now) || peersKnowNothingNewer) {
         m_attachedAt = now;
     }
     const bool allowed = now - m_attachedAt <= CellTimes().detachedLimit;
--- a/src/entry/CellHost.h
+++ b/src/entry/CellHost.h
@@ -48,14 +48,12 @@
     /// Carries out what the cells asked for.
     void flush();
 
-    /// Gives all cells up and takes none any more.
+    /// Gives all cells up and takes none any more. While the store is down, cells are kept and their leases renewed: nobody else could take
+    /// them.
     void drain();
 
-    /// @return Whether nothing is owned or being given up.
-    bool mayStop() const
-    {
-        return m_draining && m_releasing == 0;
-    }
+    /// @return Whether a draining process owns nothing any more.
+    bool mayStop() const;
 
     /// @return The cells that this entry has ever owned.
     const std::vector<std::unique_ptr<Cell>> &cells() const
@@ -69,6 +67,8 @@
     std::string preferredEntry(const std::string &failureDomain, TimePoint now) const;
     void take(const std::string &failureDomain, const CellRow &row);
     void release(const std::string &failureDomain, const CellRow &row);
+    void releaseAll(TimePoint now);
+    bool storeAnswers(TimePoint now) const;
     void writeRow(const std::string &failureDomain, const CellRow &row, const std::string &owner, std::function<void()> done);
     void updateRenewals(TimePoint now);
     Cell *find(const std::string &failureDomain);
@@ -91,8 +91,8 @@
     std::set<std::string> m_writing;
     TimePoint m_startedAt{};
     TimePoint m_attachedAt{};
-    std::size_t m_releasing = 0;
     bool m_draining = false;
+    bool m_keptForStore = false;
 };
 
 } // namespace banyanlock
--- a/src/entry/PeerTable.h
+++ b/src/entry/PeerTable.h
@@ -53,10 +53,21 @@
     /// @param now Current time.
     /// @return Peers that live and are not shutting down.
     std::vector<PeerHeartbeat> live(TimePoint now) const
+    {
+        std::vector<PeerHeartbeat> heartbeats = heard(now);
+        std::erase_if(heartbeats, [](const PeerHeartbeat &heartbeat) {
+            return heartbeat.draining;
+        });
+        return heartbeats;
+    }
+
+    /// @param now Current time.
+    /// @return Peers that live, also those that are shutting down.
+    std::vector<PeerHeartbeat> heard(TimePoint now) const
     {
         std::vector<PeerHeartbeat> heartbeats;
         for (const Peer &peer : m_peers) {
-            if (isServing(peer, now)) {
+            if (now - peer.lastHeard <= maximumAge) {
                 heartbeats.push_back(peer.heartbeat);
             }
         }
--- a/src/schedule/Cell.cpp
+++ b/src/schedule/Cell.cpp
@@ -58,6 +58,7 @@
 void Cell::onJobsRead(std::uint64_t version, TimePoint now)
 {
     m_jobsReadVersion = std::max(m_jobsReadVersion, version);
+    m_storeFailed = false;
     wake(now);
 }
 
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -258,3 +258,4 @@
 };
 
 } // namespace banyanlock
+    bool m_storeFailed = false; // since the last read of the tables
--- a/src/schedule/CellGangs.cpp
+++ b/src/schedule/CellGangs.cpp
@@ -368,7 +368,7 @@
         beginStarting(gang, now);
         break;
     case CommitState::NotSent:
-        m_storeRetryAt = now + storeRetryDelay;
+        m_storeFailed = true;
         release(gang, now);
         break;
     case CommitState::Conflict:
--- a/src/schedule/CellSchedule.cpp
+++ b/src/schedule/CellSchedule.cpp
@@ -98,7 +98,8 @@
     bool heldBack = false;
     std::size_t failedTries = 0;
     for (const JobRecord *job : jobs) {
-        if (failedTries >= mostTriesPerStep || now < m_storeRetryAt) {
+        // Without the store no start can be recorded, and preparing again and again would only load the workers.
+        if (failedTries >= mostTriesPerStep || m_storeFailed) {
             return;
         }
         if (!out && tryPlace(*job, heldBack, now)) {
--- a/tests/process/store_outage_test.sh
+++ b/tests/process/store_outage_test.sh
@@ -20,13 +20,20 @@
 code=0
 "$banyanlock" failure-domain out fd-a 2>"$run/out.err" || code=$?
 check "a change of the configuration is refused" test "$code" = 3
-sleep 8
-check "the gang outlives every lease" job_is running
+cell=$("$banyanlock" job show "$job" --json | grep -oE '"cell":"fd-[abc]' | tail -c 2)
+signal "entry-$cell" TERM
+sleep 12
+check "the gang outlives every lease, although its owner was told to stop" test "$(running_tasks "$cell")" = 4
+check "the owner says what it waits for" grep -q stop_waits_for_store "$run/entry-$cell.log"
 fault $((table_port + 1)) none
 keyed() {
     "$banyanlock" request quote "$run/keyed.txt" --workspace quotes --key outage-1
 }
 check "the same key works after the outage" wait_for 10 keyed
+check "the owner ends with 0" wait "${process_ids[entry-$cell]}"
+sleep 5
+check "the gang goes on under its next owner" test "$(running_tasks "$cell")" = 4
+check "in its first run" grep -q '"run":1[,}]' <("$banyanlock" job show "$job" --json)
 
 fault $((table_port + 1)) lose_answer
 code=0
