Let no workspace fill the request queue against the others

Ruled out: the order of turns (fair already), the deadline estimate. The bound of 512 waiting requests was filled by the burst, and every newcomer was refused as queue_full, whoever sent it.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -3,6 +3,7 @@
 #include "BenchTable.h"
 #include "DispatchWorld.h"
 
+#include <future>
 #include <string>
 #include <vector>
 
@@ -16,6 +17,9 @@
 constexpr Duration serviceTime = fromMilliseconds(60);
 constexpr Duration quoteDeadline = fromMilliseconds(250);
 constexpr Duration testLength = fromMilliseconds(5000);
+constexpr std::uint64_t firstSeed = 5;
+constexpr std::uint64_t seedCount = 8;
+constexpr double capacityPerSecond = agentCount * slots * 1e6 / static_cast<double>(serviceTime.count());
 
 struct PolicyRow {
     const char *name;
@@ -30,27 +34,53 @@
     const char *outDomain;
 };
 
-struct Figures {
-    double p50 = 0;
-    double p99 = 0;
-    double p999 = 0;
-    double withinDeadline = 0;
+/// What the runs of one policy gave, over all seeds.
+struct Totals {
+    std::vector<double> times; // of good answers, in milliseconds
+    double requests = 0;
+    double inTime = 0;
     double crossRegionAttempts = 0;
-    double runsPerRequest = 0;
+    double runs = 0;
+
+    void add(const TrackedRequest &request)
+    {
+        const bool good = request.answer && request.answer->outcome == Outcome::Answered && request.answer->status == 200;
+        const double milliseconds = static_cast<double>((request.answeredAt - request.sentAt).count()) / 1000;
+        ++requests;
+        if (good) {
+            times.push_back(milliseconds);
+        }
+        inTime += good && milliseconds <= static_cast<double>(toMilliseconds(quoteDeadline)) ? 1 : 0;
+    }
 };
 
-/// Sends requests at a steady rate with random gaps; a third of them must not run twice.
-Figures runLoad(const PolicyRow &policy, const ScenarioRow &scenario, double load, std::uint64_t seed)
+DispatchOptions makeOptions()
 {
     DispatchOptions options;
     options.entries = 3;
     options.agents = agentCount;
     options.slots = slots;
     options.serviceTime = serviceTime;
-    options.policy = policy.policy;
-    options.unlimitedRetries = policy.unlimitedRetries;
     options.crossRegionDelay = fromMilliseconds(20);
     options.network.longestDelay = fromMilliseconds(1);
+    return options;
+}
+
+/// Waits for a random time.
+/// @return The time waited, in microseconds.
+double waitGap(DispatchWorld &world, double meanMicroseconds)
+{
+    const auto gap = static_cast<std::int64_t>(2 * meanMicroseconds * world.random().unit());
+    world.run(Duration(gap));
+    return static_cast<double>(gap);
+}
+
+/// Sends requests at a steady rate with random gaps; a third of them must not run twice.
+void runLoad(const PolicyRow &policy, const ScenarioRow &scenario, double load, std::uint64_t seed, Totals &totals)
+{
+    DispatchOptions options = makeOptions();
+    options.policy = policy.policy;
+    options.unlimitedRetries = policy.unlimitedRetries;
     options.slowAgent = scenario.slowAgent;
     options.slowness = 5;
     options.failingAgent = scenario.failingAgent;
@@ -58,42 +88,30 @@
         options.outDomains = {scenario.outDomain};
     }
     DispatchWorld world(seed, options);
-    const double capacityPerSecond = agentCount * slots * 1e6 / static_cast<double>(serviceTime.count());
     const double meanGap = 1e6 / (capacityPerSecond * load);
     double waited = 0;
-    int number = 0;
-    while (waited < static_cast<double>(testLength.count())) {
-        const auto gap = static_cast<std::int64_t>(2 * meanGap * world.random().unit());
-        world.run(Duration(gap));
-        waited += static_cast<double>(gap);
+    for (int number = 0; waited < static_cast<double>(testLength.count()); ++number) {
+        waited += waitGap(world, meanGap);
         world.request(number % 3, number % 3 != 1, "", quoteDeadline);
-        ++number;
     }
     world.run(fromMilliseconds(2000));
-    std::vector<double> times;
-    double inTime = 0;
     for (const TrackedRequest &request : world.requests()) {
-        const bool good = request.answer && request.answer->outcome == Outcome::Answered && request.answer->status == 200;
-        const double milliseconds = static_cast<double>((request.answeredAt - request.sentAt).count()) / 1000;
-        if (good) {
-            times.push_back(milliseconds);
-        }
-        inTime += good && milliseconds <= static_cast<double>(toMilliseconds(quoteDeadline)) ? 1 : 0;
+        totals.add(request);
     }
-    const auto total = static_cast<double>(world.requests().size());
-    Figures figures;
-    figures.p50 = percentile(times, 0.5);
-    figures.p99 = percentile(times, 0.99);
-    figures.p999 = percentile(times, 0.999);
-    figures.withinDeadline = 100 * inTime / total;
-    figures.crossRegionAttempts = 100 * static_cast<double>(world.counters().value(Counter::CrossRegionAttempts)) / total;
-    figures.runsPerRequest = static_cast<double>(world.totalRuns()) / total;
-    return figures;
+    totals.crossRegionAttempts += static_cast<double>(world.counters().value(Counter::CrossRegionAttempts));
+    totals.runs += static_cast<double>(world.totalRuns());
 }
 
-} // namespace
+Totals runSeeds(const PolicyRow &policy, const ScenarioRow &scenario, double load)
+{
+    Totals totals;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seedCount; ++seed) {
+        runLoad(policy, scenario, load, seed, totals);
+    }
+    return totals;
+}
 
-int main(int argumentCount, char **arguments)
+void comparePolicies(const std::vector<double> &loads)
 {
     const std::vector<PolicyRow> policies{{"completion_time", CompletionTimePolicy(), false},
                                           {"least_connections", LeastConnectionsPolicy(), false},
@@ -105,17 +123,76 @@
                                              {"a failure domain out", -1, -1, "fd-0"}};
     const BenchTable table({"load", "scenario", "policy", "p50 ms", "p99 ms", "p99.9 ms", "within 250 ms, %", "attempts across regions, %",
                             "runs per request"});
-    // A load may be named, to look at one part of the table.
-    const std::vector<double> loads = argumentCount > 1 ? std::vector<double>{std::stod(arguments[1])} : std::vector<double>{0.5, 0.9, 1.3};
     for (const double load : loads) {
         for (const ScenarioRow &scenario : scenarios) {
+            // Worlds share nothing, so the policies run side by side.
+            std::vector<std::future<Totals>> running;
             for (const PolicyRow &policy : policies) {
-                const Figures figures = runLoad(policy, scenario, load, 5);
-                BenchTable::addRow({formatNumber(100 * load, 0) + "%", scenario.name, policy.name, formatNumber(figures.p50),
-                                    formatNumber(figures.p99), formatNumber(figures.p999), formatNumber(figures.withinDeadline, 2),
-                                    formatNumber(figures.crossRegionAttempts), formatNumber(figures.runsPerRequest, 3)});
+                running.push_back(std::async(std::launch::async, runSeeds, policy, scenario, load));
+            }
+            for (std::size_t row = 0; row < policies.size(); ++row) {
+                const Totals totals = running[row].get();
+                BenchTable::addRow({formatNumber(100 * load, 0) + "%", scenario.name, policies[row].name,
+                                    formatNumber(percentile(totals.times, 0.5)), formatNumber(percentile(totals.times, 0.99)),
+                                    formatNumber(percentile(totals.times, 0.999)), formatNumber(100 * totals.inTime / totals.requests, 2),
+                                    formatNumber(100 * totals.crossRegionAttempts / totals.requests),
+                                    formatNumber(totals.runs / totals.requests, 3)});
+            }
+        }
+    }
+}
+
+/// Quotes at a steady 40% of the capacity, with or without a burst of another workspace's audits, of a tenth of their share.
+Totals runBurst(double burstLoad, bool orderByArrival)
+{
+    constexpr double steadyLoad = 0.4;
+    Totals totals;
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seedCount; ++seed) {
+        DispatchOptions options = makeOptions();
+        options.orderByArrival = orderByArrival;
+        DispatchWorld world(seed, options);
+        const double load = steadyLoad + burstLoad;
+        double waited = 0;
+        for (int number = 0; waited < static_cast<double>(testLength.count()); ++number) {
+            waited += waitGap(world, 1e6 / (capacityPerSecond * load));
+            const bool steady = world.random().unit() * load < steadyLoad;
+            world.requestOf(steady ? "quotes" : "audits", number % 3, number % 3 != 1, "", fromMilliseconds(1000));
+        }
+        world.run(fromMilliseconds(2000));
+        for (const TrackedRequest &request : world.requests()) {
+            if (request.workspace == "quotes") {
+                totals.add(request);
             }
         }
     }
+    return totals;
+}
+
+void measureBursts()
+{
+    std::printf("\nQuotes (share 10) at 40%% of the capacity while audits (share 1) burst; timeout 1 s.\n\n");
+    const BenchTable table({"audits, % of the capacity", "queue", "quotes p50 ms", "p99 ms", "p99.9 ms", "within 250 ms, %"});
+    for (const double burst : {0.0, 0.5, 1.0, 2.0}) {
+        for (const bool orderByArrival : {false, true}) {
+            const Totals totals = runBurst(burst, orderByArrival);
+            BenchTable::addRow({formatNumber(100 * burst, 0), orderByArrival ? "order of arrival" : "fair by share",
+                                formatNumber(percentile(totals.times, 0.5)), formatNumber(percentile(totals.times, 0.99)),
+                                formatNumber(percentile(totals.times, 0.999)), formatNumber(100 * totals.inTime / totals.requests, 2)});
+        }
+    }
+}
+
+} // namespace
+
+int main(int argumentCount, char **arguments)
+{
+    // A load may be named, to look at one part of the table, or `burst`.
+    const std::string part = argumentCount > 1 ? arguments[1] : "";
+    if (part != "burst") {
+        comparePolicies(part.empty() ? std::vector<double>{0.5, 0.9, 1.3} : std::vector<double>{std::stod(part)});
+    }
+    if (part.empty() || part == "burst") {
+        measureBursts();
+    }
     return 0;
 }
--- a/src/dispatch/FairQueue.cpp
+++ b/src/dispatch/FairQueue.cpp
@@ -50,6 +50,15 @@
     return line == nullptr ? std::nullopt : std::optional(line->requests.front());
 }
 
+std::optional<RequestHandle> FairQueue::backOfLongest() const
+{
+    const auto longest = std::ranges::max_element(m_lines, {}, [](const Line &line) {
+        return line.requests.size();
+    });
+    const bool found = longest != m_lines.end() && !longest->requests.empty();
+    return found ? std::optional(longest->requests.back()) : std::nullopt;
+}
+
 void FairQueue::popFront(std::uint32_t weight)
 {
     const Line *next = nextLine();
--- a/src/dispatch/FairQueue.h
+++ b/src/dispatch/FairQueue.h
@@ -43,6 +43,9 @@
     /// @return Whether it was there.
     bool remove(std::string_view workspace, RequestHandle request);
 
+    /// @return The last request of the workspace that has the most, or nothing when the queue is empty.
+    std::optional<RequestHandle> backOfLongest() const;
+
     /// @return Requests of all workspaces.
     std::size_t size() const
     {
--- a/src/dispatch/PipelineAttempts.cpp
+++ b/src/dispatch/PipelineAttempts.cpp
@@ -222,7 +222,7 @@
         refuse(handle, ResultCode::StoreUnavailable);
         break;
     case Phase::Queued: {
-        queueOf(pending->request.service).queue.remove(pending->request.workspace, handle);
+        queueOf(pending->request.service).queue.remove(queueNameOf(*pending), handle);
         const bool tried = pending->lastFailure != ResultCode::Ok;
         refuse(handle, tried ? ResultCode::DeadlineUnreachable : ResultCode::NoBackendServer);
         break;
@@ -282,7 +282,7 @@
         onDeadline(handle, fired);
     });
     ServiceQueue &line = queueOf(pending.request.service);
-    line.queue.pushFront(pending.request.workspace, handle);
+    line.queue.pushFront(queueNameOf(pending), handle);
     pump(line, now);
 }
 
--- a/src/dispatch/PipelineQueue.cpp
+++ b/src/dispatch/PipelineQueue.cpp
@@ -16,6 +16,11 @@
     return *line;
 }
 
+std::string_view RequestPipeline::queueNameOf(const Pending &pending) const
+{
+    return m_limits.orderByArrival ? std::string_view() : std::string_view(pending.request.workspace);
+}
+
 RequestPipeline::ServiceTimes RequestPipeline::serviceTimes(std::string_view service, TimePoint now) const
 {
     ServiceTimes times;
@@ -40,18 +45,30 @@
         return true;
     }
     // Turns are shared between the workspaces that wait, so the own line counts once for each of them.
-    const std::size_t ownTurns
-        = (line.queue.sizeOf(pending.request.workspace) + 1) * std::max<std::size_t>(1, line.queue.activeWorkspaces());
+    const std::size_t ownTurns = (line.queue.sizeOf(queueNameOf(pending)) + 1) * std::max<std::size_t>(1, line.queue.activeWorkspaces());
     const auto ahead = static_cast<double>(std::min(line.queue.size(), ownTurns));
     const double expected = ahead * times.averageMicroseconds / times.slots + times.longMicroseconds;
     return expected <= static_cast<double>((pending.deadline - now).count());
 }
 
 void RequestPipeline::enqueue(RequestHandle handle, TimePoint now)
+bool RequestPipeline::makeRoom(ServiceQueue &line, const Pending &pending)
+{
+    // The queue's bound must not let a workspace that fills it keep the others out.
+    const RequestHandle last = *line.queue.backOfLongest();
+    const std::string_view longest = queueNameOf(*find(last));
+    if (line.queue.sizeOf(longest) <= line.queue.sizeOf(queueNameOf(pending)) + 1) {
+        return false;
+    }
+    line.queue.remove(longest, last);
+    refuse(last, ResultCode::QueueFull);
+    return true;
+}
+
 {
     Pending &pending = *find(handle);
     ServiceQueue &line = queueOf(pending.request.service);
-    if (line.queue.size() >= m_limits.queueLimit) {
+    if (line.queue.size() >= m_limits.queueLimit && !makeRoom(line, pending)) {
         refuse(handle, ResultCode::QueueFull);
         return;
     }
@@ -60,7 +77,7 @@
         return;
     }
     pending.phase = Phase::Queued;
-    line.queue.pushBack(pending.request.workspace, handle);
+    line.queue.pushBack(queueNameOf(pending), handle);
     pump(line, now);
 }
 
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -29,6 +29,7 @@
     double retryShare = 0.1; ///< Retries earned by each first attempt.
     double retryReserve = 20; ///< Retries that may be saved up.
     bool unlimitedRetries = false; ///< Baseline for measurements: no retry budget.
+    bool orderByArrival = false; ///< Baseline for measurements: one queue for all workspaces.
 };
 
 /// How an attempt failed at the transport.
@@ -182,7 +183,9 @@
 
     // PipelineQueue.cpp: queue and choice
     ServiceQueue &queueOf(std::string_view service);
+    std::string_view queueNameOf(const Pending &pending) const;
     void enqueue(RequestHandle handle, TimePoint now);
+    bool makeRoom(ServiceQueue &line, const Pending &pending);
     bool canMeetDeadline(const Pending &pending, ServiceQueue &line, TimePoint now) const;
     ServiceTimes serviceTimes(std::string_view service, TimePoint now) const;
     void pump(ServiceQueue &line, TimePoint now);
--- a/tests/dispatch/DispatchWorld.cpp
+++ b/tests/dispatch/DispatchWorld.cpp
@@ -95,6 +95,7 @@
     limits.region = "region-" + std::to_string(index % 3);
     limits.entryIncarnation = entry->incarnation;
     limits.unlimitedRetries = m_options.unlimitedRetries;
+    limits.orderByArrival = m_options.orderByArrival;
     entry->pipeline = std::make_unique<RequestPipeline>(limits, m_options.policy, entry->timers, m_counters);
     entry->pipeline->configure(openLimits(), m_options.outDomains, m_network.now());
     const std::uint64_t incarnation = entry->incarnation;
@@ -327,12 +328,18 @@
 }
 
 void DispatchWorld::request(int entry, bool idempotent, const std::string &key, Duration timeout)
+{
+    requestOf(m_requests.size() % 3 == 0 ? "audits" : "quotes", entry, idempotent, key, timeout);
+}
+
+void DispatchWorld::requestOf(const std::string &workspace, int entry, bool idempotent, const std::string &key, Duration timeout)
 {
     EntryProcess &process = *m_entries[static_cast<std::size_t>(entry)];
     const std::size_t number = m_requests.size();
     TrackedRequest tracked;
     // Repeats with one key carry the same body, as a caller's would.
     tracked.body = key.empty() ? "request-" + std::to_string(number) : "keyed-" + key;
+    tracked.workspace = workspace;
     tracked.key = key;
     tracked.idempotent = idempotent;
     tracked.entry = entry;
@@ -343,7 +350,7 @@
         // The deadline counts from when the entry reads the request, which a frozen entry does late.
         m_requests[number].deadline = m_network.now() + timeout;
         CallerRequest caller;
-        caller.workspace = number % 3 == 0 ? "audits" : "quotes";
+        caller.workspace = tracked.workspace;
         caller.service = "quote";
         caller.body = std::make_shared<const std::string>(tracked.body);
         caller.idempotent = tracked.idempotent;
--- a/tests/dispatch/DispatchWorld.h
+++ b/tests/dispatch/DispatchWorld.h
@@ -30,6 +30,7 @@
     std::uint16_t slots = 2; ///< Slots of each backend server.
     AnyRoutingPolicy policy; ///< Routing policy of all entries.
     bool unlimitedRetries = false; ///< Baseline: no retry budget.
+    bool orderByArrival = false; ///< Baseline: no fairness between workspaces.
     Duration crossRegionDelay{}; ///< Further delay between regions, one way.
     int slowAgent = -1; ///< Agent whose backend server is slow, or -1.
     double slowness = 1; ///< Factor of its service time.
@@ -60,6 +61,7 @@
 /// A request as the outside sees it.
 struct TrackedRequest {
     std::string body; ///< Unique body.
+    std::string workspace; ///< Workspace that asks.
     std::string key; ///< Idempotency key; may be empty.
     bool idempotent = false; ///< Whether it may run more than once.
     int entry = 0; ///< Entry that took it.
@@ -89,6 +91,14 @@
     /// @param timeout Limit for the answer.
     void request(int entry, bool idempotent, const std::string &key, Duration timeout);
 
+    /// Sends a request of a workspace to an entry.
+    /// @param workspace The workspace.
+    /// @param entry Index of the entry.
+    /// @param idempotent Whether it may run more than once.
+    /// @param key Idempotency key; may be empty.
+    /// @param timeout Limit for the answer.
+    void requestOf(const std::string &workspace, int entry, bool idempotent, const std::string &key, Duration timeout);
+
     /// Kills an entry and starts a new process in its place.
     /// @param entry Index of the entry.
     void restartEntry(int entry);
--- a/tests/dispatch/FairQueueTest.cpp
+++ b/tests/dispatch/FairQueueTest.cpp
@@ -62,6 +62,16 @@
     BOOST_TEST(queue.sizeOf("idle") <= 6U);
 }
 
+BOOST_AUTO_TEST_CASE(longestLineGivesItsLastRequest)
+{
+    FairQueue queue;
+    BOOST_TEST(!queue.backOfLongest().has_value());
+    queue.pushBack("short", 1);
+    queue.pushBack("long", 2);
+    queue.pushBack("long", 3);
+    BOOST_TEST((queue.backOfLongest() == RequestHandle(3)));
+}
+
 BOOST_AUTO_TEST_CASE(removedRequestIsGone)
 {
     FairQueue queue;
--- a/tests/dispatch/RequestPipelineTest.cpp
+++ b/tests/dispatch/RequestPipelineTest.cpp
@@ -33,14 +33,27 @@
         pipeline.announce(announcement, now);
     }
 
-    void request(bool idempotent)
+    RequestHandle request(bool idempotent, const std::string &workspace = "w")
     {
         CallerRequest request;
-        request.workspace = "w";
+        request.workspace = workspace;
         request.service = "s";
         request.idempotent = idempotent;
         request.timeout = fromMilliseconds(10000);
-        pipeline.start(std::move(request), start);
+        return pipeline.start(std::move(request), start);
+    }
+
+    /// Requests that were refused with a code since the last call.
+    std::vector<RequestHandle> refusedWith(ResultCode code)
+    {
+        std::vector<RequestHandle> refused;
+        for (const PipelineAction &action : pipeline.takeActions()) {
+            const AnswerCaller *answer = std::get_if<AnswerCaller>(&action);
+            if (answer != nullptr && answer->answer.code == code) {
+                refused.push_back(answer->request);
+            }
+        }
+        return refused;
     }
 
     /// Addresses that attempts are sent to since the last call.
@@ -92,6 +105,22 @@
     BOOST_TEST(attempts() == std::vector<std::string>{"a"});
 }
 
+BOOST_AUTO_TEST_CASE(workspaceThatFillsTheQueueDoesNotKeepOthersOut)
+{
+    pipeline.configure({{"w", 1e6, 1000, 1}, {"v", 1e6, 1000, 1}}, {}, start);
+    announce("a", 1, start);
+    const std::size_t filling = 8 + PipelineLimits().queueLimit;
+    RequestHandle last = 0;
+    for (std::size_t number = 0; number < filling; ++number) {
+        last = request(true);
+    }
+    BOOST_TEST(refusedWith(ResultCode::QueueFull).empty());
+    request(true, "v");
+    BOOST_TEST(refusedWith(ResultCode::QueueFull) == std::vector<RequestHandle>{last});
+    const RequestHandle beyond = request(true);
+    BOOST_TEST(refusedWith(ResultCode::QueueFull) == std::vector<RequestHandle>{beyond});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
