Try members whose report is old, and hold what old news sends

Change: one attempt goes to a full member when its report is older than 30 ms; agents hold two attempts beyond the queue that they announce; an entry with no near member that serves keeps up to 6 of 8 places at each far one. Failure domains that are out no longer count in the service times. AgentGateTest asks for no overflow where it counted the announced queue alone, and has a case for the overflow.

--- a/src/dispatch/AgentGate.cpp
+++ b/src/dispatch/AgentGate.cpp
@@ -33,7 +33,8 @@
     if (m_draining) {
         return ResultCode::AgentDraining;
     }
-    const bool full = m_running >= m_limits.slots && m_queue.size() >= m_limits.queueSlots;
+    const std::size_t places = std::size_t(m_limits.queueSlots) + m_limits.overflowSlots;
+    const bool full = m_running >= m_limits.slots && m_queue.size() >= places;
     return full ? ResultCode::AgentFull : ResultCode::Ok;
 }
 
--- a/src/dispatch/AgentGate.h
+++ b/src/dispatch/AgentGate.h
@@ -18,7 +18,8 @@
 struct GateLimits {
     std::uint64_t incarnation = 0; ///< Random number of this process.
     std::uint16_t slots = 8; ///< Requests that the backend server runs at once.
-    std::uint16_t queueSlots = 2; ///< Further attempts held waiting.
+    std::uint16_t queueSlots = 2; ///< Further attempts held waiting, as announced.
+    std::uint16_t overflowSlots = 2; ///< Attempts held beyond those, from entries whose news of the agent is old.
     Duration rememberFor = fromMilliseconds(30000); ///< Time after the start-by limit for which an attempt id is remembered.
 };
 
--- a/src/dispatch/PipelineQueue.cpp
+++ b/src/dispatch/PipelineQueue.cpp
@@ -25,7 +25,8 @@
 {
     ServiceTimes times;
     for (const Member &member : m_members.members()) {
-        if (member.announced.service == service && m_members.isEligible(member, now)) {
+        const bool out = std::ranges::find(m_outDomains, member.announced.failureDomain) != m_outDomains.end();
+        if (member.announced.service == service && !out && m_members.isEligible(member, now)) {
             times.averageMicroseconds += member.serviceMicroseconds * member.announced.slots;
             times.longMicroseconds += member.longServiceMicroseconds() * member.announced.slots;
             times.slots += member.announced.slots;
@@ -51,7 +52,6 @@
     return expected <= static_cast<double>((pending.deadline - now).count());
 }
 
-void RequestPipeline::enqueue(RequestHandle handle, TimePoint now)
 bool RequestPipeline::makeRoom(ServiceQueue &line, const Pending &pending)
 {
     // The queue's bound must not let a workspace that fills it keep the others out.
@@ -65,6 +65,7 @@
     return true;
 }
 
+void RequestPipeline::enqueue(RequestHandle handle, TimePoint now)
 {
     Pending &pending = *find(handle);
     ServiceQueue &line = queueOf(pending.request.service);
--- a/src/dispatch/RoutingContext.h
+++ b/src/dispatch/RoutingContext.h
@@ -23,10 +23,16 @@
     std::span<const std::uint64_t> excluded; ///< Incarnations that this request has been refused by.
 };
 
+/// Decides whether a member serves the request's service now.
+/// @param member Member to look at.
+/// @param context The choice to make.
+/// @return Whether it offers the service, is eligible, and in a failure domain that is in.
+bool serves(const Member &member, const RoutingContext &context);
+
 /// Decides whether a member may be chosen at all.
 /// @param member Member to look at.
 /// @param context The choice to make.
-/// @return Whether it serves the service, is eligible, in a failure domain that is in, and not excluded.
+/// @return Whether it serves the request's service and is not excluded.
 bool isCandidate(const Member &member, const RoutingContext &context);
 
 } // namespace banyanlock
--- a/src/dispatch/RoutingPolicy.cpp
+++ b/src/dispatch/RoutingPolicy.cpp
@@ -12,6 +12,8 @@
 constexpr double otherRegionMicroseconds = 40000;
 constexpr double highestFailureRate = 0.95;
 constexpr double loadSlowdown = 0.5; // share of a service time that a fully loaded server adds
+constexpr Duration staleReport = fromMilliseconds(30);
+constexpr std::uint32_t standingPlacesOfFour = 3;
 
 double distanceMicroseconds(const Member &member, const RoutingContext &context)
 {
@@ -38,6 +40,20 @@
     return member.load() < static_cast<std::uint32_t>(member.announced.slots) + member.announced.queueSlots;
 }
 
+/// Other entries fill and free a member unseen. Once a report is old, one attempt finds out, since its reply brings a new one, be it a
+/// refusal.
+bool mayProbe(const Member &member, TimePoint now)
+{
+    return member.sentSinceReport == 0 && now - member.clockReadAt >= staleReport;
+}
+
+/// Attempts that an entry without near members keeps at a far one whatever its last report says: by the time that a report of a free slot
+/// has crossed a region, a nearer entry has taken the slot.
+bool hasStandingPlace(const Member &member)
+{
+    return member.outstanding < std::uint32_t(member.announced.slots) * standingPlacesOfFour / 4;
+}
+
 struct Choice {
     std::optional<std::size_t> index;
     double cost = 0;
@@ -82,16 +98,23 @@
 {
     Choice near;
     Choice far;
+    Choice standing;
+    bool nearServes = false;
     const auto members = context.table.members();
     ++m_rotation; // equal members take turns, so that entries don't all pick the first
     for (std::size_t step = 0; step < members.size(); ++step) {
         const std::size_t index = (m_rotation + step) % members.size();
         const Member &member = members[index];
-        if (!isCandidate(member, context) || !hasRoom(member)) {
+        const bool isNear = member.announced.region == context.region;
+        nearServes = nearServes || (isNear && serves(member, context));
+        if (!isCandidate(member, context)) {
             continue;
         }
-        Choice &best = member.announced.region == context.region ? near : far;
-        consider(best, index, expectedMicroseconds(member, context), member.load());
+        if (hasRoom(member) || mayProbe(member, context.now)) {
+            consider(isNear ? near : far, index, expectedMicroseconds(member, context), member.load());
+        } else if (hasStandingPlace(member)) {
+            consider(standing, index, member.outstanding, member.load());
+        }
     }
     const auto remaining = static_cast<double>((context.deadline - context.now).count());
     if (near.index && near.cost <= remaining) {
@@ -100,7 +123,7 @@
     if (far.index && (!near.index || far.cost < near.cost)) {
         return far.index;
     }
-    return near.index;
+    return near.index || nearServes ? near.index : standing.index;
 }
 
 std::optional<AnyRoutingPolicy> routingPolicyFromName(std::string_view name)
--- a/tests/dispatch/AgentGateTest.cpp
+++ b/tests/dispatch/AgentGateTest.cpp
@@ -11,7 +11,7 @@
 
 struct Fixture {
     Counters counters;
-    AgentGate gate{{7, 1, 1}, counters};
+    AgentGate gate{{7, 1, 1, 0}, counters};
 
     static AttemptMessage attempt(std::uint64_t sequence, Duration startWithin = fromMilliseconds(100))
     {
@@ -51,6 +51,19 @@
     BOOST_TEST(forwards() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(attemptsBeyondTheAnnouncedQueueAreHeldUpToABound)
+{
+    AgentGate roomy({7, 1, 1, 2}, counters);
+    for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+        roomy.offer(attempt(sequence), start);
+    }
+    BOOST_TEST(roomy.takeActions().size() == 1U);
+    roomy.offer(attempt(5), start);
+    const std::vector<GateAction> actions = roomy.takeActions();
+    BOOST_REQUIRE(actions.size() == 1U);
+    BOOST_TEST((std::get<SendReply>(actions[0]).reply.code == ResultCode::AgentFull));
+}
+
 BOOST_AUTO_TEST_CASE(fullAgentRefusesAndSaysSo)
 {
     gate.offer(attempt(1), start);
