Pack reservations without counting every worker for each placement

Profile by reading: each placement sorted 18 failure domains by free accelerators and counted 340 workers for each comparison. Looking up a worker's own reservations went over all reservations of the fleet. Change: each failure domain keeps its count; reservations are indexed by worker.

--- a/src/entry/StoreMirror.cpp
+++ b/src/entry/StoreMirror.cpp
@@ -109,7 +109,12 @@
         Log::warning("worker_row_unreadable", {{"worker", row.key}, {"detail", errorOf(worker).detail}});
         return;
     }
-    m_workers[row.key] = valueOf(worker);
+    WorkerInfo &known = m_workers[row.key];
+    if (known == valueOf(worker)) {
+        // A worker that came back as it was leaves the plan, and what its cell has learned, as they are.
+        return;
+    }
+    known = valueOf(worker);
     change.fleet = true;
     change.changedCells.push_back(valueOf(worker).failureDomain);
 }
--- a/src/placement/ReservationPlan.cpp
+++ b/src/placement/ReservationPlan.cpp
@@ -51,6 +51,7 @@
 struct DomainSpace {
     std::uint32_t firstWorker = 0;
     std::vector<WorkerView> views;
+    std::uint32_t freeAccelerators = 0;
 };
 
 std::vector<DomainSpace> makeSpaces(const Fleet &fleet, std::span<const std::string> outDomains)
@@ -64,26 +65,18 @@
         }
         const bool sameDomain = index > 0 && !spaces.empty() && workers[index - 1].failureDomain == worker.failureDomain;
         if (!sameDomain) {
-            spaces.push_back({index, {}});
+            spaces.push_back({index, {}, 0});
         }
         std::vector<WorkerView> &views = spaces.back().views;
         const bool sameRack = !views.empty() && workers[index - 1].rack == worker.rack;
         const std::uint32_t rack = views.empty() ? 0 : views.back().rack + (sameRack ? 0 : 1);
         // One task of a guaranteed shape takes one worker's part, so the worker counts as one processor.
         views.push_back({rack, allAccelerators(worker), 0, worker.accelerators, 1, 0});
+        spaces.back().freeAccelerators += worker.accelerators;
     }
     return spaces;
 }
 
-std::uint32_t freeAccelerators(const DomainSpace &space)
-{
-    std::uint32_t total = 0;
-    for (const WorkerView &view : space.views) {
-        total += static_cast<std::uint32_t>(std::popcount(view.usable));
-    }
-    return total;
-}
-
 /// Places one shape in the failure domain with the most room, which spreads the guarantees over the failure domains.
 std::optional<std::vector<ReservedSlice>> packOne(const GuaranteedShape &shape, std::vector<DomainSpace> &spaces)
 {
@@ -93,7 +86,7 @@
         order[index] = index;
     }
     std::ranges::stable_sort(order, [&](std::uint32_t left, std::uint32_t right) {
-        return freeAccelerators(spaces[left]) > freeAccelerators(spaces[right]);
+        return spaces[left].freeAccelerators > spaces[right].freeAccelerators;
     });
     for (const std::uint32_t index : order) {
         DomainSpace &space = spaces[index];
@@ -104,6 +97,7 @@
         std::vector<ReservedSlice> slices;
         for (const TaskPlacement &task : *placement) {
             space.views[task.worker].usable &= ~task.accelerators;
+            space.freeAccelerators -= static_cast<std::uint32_t>(std::popcount(task.accelerators));
             slices.push_back({space.firstWorker + task.worker, task.accelerators});
         }
         return slices;
@@ -149,20 +143,37 @@
             m_reservations.push_back({item.workspace, item.shape, std::move(*slices)});
         }
     }
+    indexByWorker();
     BANYANLOCK_ASSERT(isSound(fleet, contracts));
 }
 
-AcceleratorMask ReservationPlan::reservedFor(std::uint32_t worker, std::string_view workspace) const
+void ReservationPlan::indexByWorker()
 {
-    AcceleratorMask mask = 0;
+    m_firstShare.assign(m_reserved.size() + 1, 0);
     for (const Reservation &reservation : m_reservations) {
-        if (m_workspaces[reservation.workspace] != workspace) {
-            continue;
+        for (const ReservedSlice &slice : reservation.slices) {
+            ++m_firstShare[slice.worker + 1];
         }
+    }
+    for (std::size_t worker = 1; worker < m_firstShare.size(); ++worker) {
+        m_firstShare[worker] += m_firstShare[worker - 1];
+    }
+    m_shares.resize(m_firstShare.back());
+    std::vector<std::uint32_t> next(m_firstShare);
+    for (const Reservation &reservation : m_reservations) {
         for (const ReservedSlice &slice : reservation.slices) {
-            mask |= slice.worker == worker ? slice.accelerators : 0;
+            m_shares[next[slice.worker]++] = {reservation.workspace, slice.accelerators};
         }
     }
+}
+
+AcceleratorMask ReservationPlan::reservedFor(std::uint32_t worker, std::string_view workspace) const
+{
+    AcceleratorMask mask = 0;
+    for (std::uint32_t index = m_firstShare[worker]; index < m_firstShare[worker + 1]; ++index) {
+        const WorkerShare &share = m_shares[index];
+        mask |= m_workspaces[share.workspace] == workspace ? share.accelerators : 0;
+    }
     return mask;
 }
 
--- a/src/placement/ReservationPlan.h
+++ b/src/placement/ReservationPlan.h
@@ -75,10 +75,20 @@
     bool isSound(const Fleet &fleet, std::span<const Contract> contracts) const;
 
 private:
+    /// Part of a worker that is reserved for one workspace.
+    struct WorkerShare {
+        std::uint32_t workspace = 0;
+        AcceleratorMask accelerators = 0;
+    };
+
+    void indexByWorker();
+
     std::vector<std::string> m_workspaces;
     std::vector<Reservation> m_reservations;
     std::vector<Shortfall> m_shortfalls;
     std::vector<AcceleratorMask> m_reserved;
+    std::vector<WorkerShare> m_shares; // of all workers, one worker's after another's
+    std::vector<std::uint32_t> m_firstShare; // place of each worker's in m_shares, and the end
 };
 
 /// Checks whether all guarantees have room, also with any one failure domain gone for the contracts that ask for it.
--- a/src/placement/WorkerInfo.h
+++ b/src/placement/WorkerInfo.h
@@ -18,6 +18,9 @@
     std::uint32_t accelerators = 0; ///< Accelerators, at most 32.
     std::uint32_t processors = 0; ///< Processor cores.
     std::uint32_t memoryMegabytes = 0; ///< Memory, in megabytes.
+
+    /// Compares all fields.
+    bool operator==(const WorkerInfo &) const = default;
 };
 
 /// @param worker Worker to look at.
