Let jobs wait for named accelerators, and make whole room for large gangs

A job that had waited a minute held back everything that came free. Change: the fullest rack first; after 20 s the accelerators where least is missing are withheld for up to eight jobs; smaller reclaimable gangs move, if all of them find places in the cell at once; jobs that need the same as one that failed aren't tried again within a look; held resources are counted once. A placement stops running gangs only: with a slow store, a late start of a gang that had been given up overlapped a running one and broke an invariant.

--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -169,10 +169,25 @@
     int m_nextJob = 1;
 };
 
+/// Share of a core that the cell takes, in percent, while jobs wait for more than the cell has free.
+double shareWithQueue(CellRig &rig, std::uint32_t workers)
+{
+    constexpr int jobs = 100;
+    constexpr double seconds = 10;
+    for (int job = 0; job < jobs; ++job) {
+        rig.submit(workers, 2);
+    }
+    rig.run(fromMilliseconds(2000));
+    const double before = processorSeconds() - rig.workerSeconds();
+    rig.run(fromMilliseconds(10000));
+    return 100 * (processorSeconds() - rig.workerSeconds() - before) / seconds;
+}
+
 void measureCell()
 {
     std::printf("\n## Cell owner, steady state: one heartbeat a second to each worker, 1.6 accelerators a worker in use\n\n");
-    const BenchTable table({"workers", "running tasks", "processor, % of a core", "bytes a second", "memory MB"});
+    const BenchTable table(
+        {"workers", "running tasks", "processor, % of a core", "with 100 jobs that find no room", "bytes a second", "memory MB"});
     std::vector<double> sizes;
     std::vector<double> shares;
     std::vector<double> rates;
@@ -197,8 +212,9 @@
         shares.push_back(100 * used / seconds);
         rates.push_back(static_cast<double>(rig.bytes() - bytesBefore) / seconds);
         memory.push_back(residentMegabytes() - memoryBefore);
+        const double queued = shareWithQueue(rig, workers);
         BenchTable::addRow({std::to_string(workers), std::to_string(rig.runningGangs()), formatNumber(shares.back(), 2),
-                            formatNumber(rates.back(), 0), formatNumber(memory.back(), 2)});
+                            formatNumber(queued, 2), formatNumber(rates.back(), 0), formatNumber(memory.back(), 2)});
     }
     const Line processor = Line::fit(sizes, shares);
     const Line traffic = Line::fit(sizes, rates);
--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -70,6 +70,7 @@
     {GangsStarted, "banyanlock_gangs_total", "event=\"started\"", ""},
     {GangsReleased, "banyanlock_gangs_total", "event=\"released\"", ""},
     {GangsPreempted, "banyanlock_gangs_total", "event=\"preempted\"", ""},
+    {GangsMoved, "banyanlock_gangs_total", "event=\"moved\"", ""},
     {GangsRequeued, "banyanlock_gangs_total", "event=\"requeued\"", ""},
     {GangMembersLost, "banyanlock_gangs_total", "event=\"member_lost\"", ""},
     {JobsSucceeded, "banyanlock_jobs_total", "state=\"succeeded\"", "Jobs ended, by state."},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -73,6 +73,7 @@
     GangsStarted,
     GangsReleased,
     GangsPreempted,
+    GangsMoved,
     GangsRequeued,
     GangMembersLost,
     JobsSucceeded,
--- a/src/placement/GangPlacer.cpp
+++ b/src/placement/GangPlacer.cpp
@@ -12,14 +12,24 @@
 namespace
 {
 
-constexpr std::uint32_t preferredBonus = 64; // outweighs any leftover on one worker
-constexpr double rackWeight = 0.01;
+constexpr double preferredBonus = 1e6; // outweighs any other cost
+constexpr double rackWeight = 64; // outweighs any leftover on one worker
 
 std::uint32_t countOf(AcceleratorMask mask)
 {
     return static_cast<std::uint32_t>(std::popcount(mask));
 }
 
+/// Index after the last worker of the rack that starts at `first`.
+std::size_t rackEnd(std::span<const WorkerView> workers, std::size_t first)
+{
+    std::size_t end = first;
+    while (end < workers.size() && workers[end].rack == workers[first].rack) {
+        ++end;
+    }
+    return end;
+}
+
 /// How many tasks of the shape a worker holds.
 std::uint32_t taskCapacity(const GangShape &shape, const WorkerView &worker)
 {
@@ -47,26 +57,42 @@
     double cost = 0;
 };
 
+/// Usable accelerators in the rack of each worker.
+std::vector<std::uint32_t> usableByRack(std::span<const WorkerView> workers)
+{
+    std::vector<std::uint32_t> usable(workers.size(), 0);
+    for (std::size_t first = 0; first < workers.size();) {
+        const std::size_t end = rackEnd(workers, first);
+        std::uint32_t total = 0;
+        for (const WorkerView &worker : workers.subspan(first, end - first)) {
+            total += countOf(worker.usable);
+        }
+        std::fill(usable.begin() + static_cast<std::ptrdiff_t>(first), usable.begin() + static_cast<std::ptrdiff_t>(end), total);
+        first = end;
+    }
+    return usable;
+}
+
 double workerCost(const GangShape &shape, const WorkerView &worker, std::uint32_t tasks)
 {
     const std::uint32_t taken = tasks * shape.accelerators;
     const std::uint32_t preferred = std::min(taken, countOf(worker.preferred));
     const auto leftover = static_cast<double>(countOf(worker.usable) - taken);
-    return leftover - static_cast<double>(preferred) * preferredBonus;
+    return leftover - preferred * preferredBonus;
 }
 
 /// Chooses workers of one adjacency group; `first` is the index of its first worker.
 std::optional<GroupPlacement> placeInGroup(const GangShape &shape, std::span<const WorkerView> group, std::uint32_t first,
-                                           PlacementOrder order)
+                                           std::span<const std::uint32_t> rackUsable, PlacementOrder order)
 {
     std::vector<Candidate> candidates;
     std::uint32_t total = 0;
-    std::uint32_t usable = 0;
     for (std::uint32_t index = 0; index < group.size(); ++index) {
         const std::uint32_t capacity = taskCapacity(shape, group[index]);
-        usable += countOf(group[index].usable);
         if (capacity > 0) {
-            candidates.push_back({first + index, capacity, workerCost(shape, group[index], capacity)});
+            // The fullest rack first, so that others stay whole for gangs that need one.
+            const double cost = workerCost(shape, group[index], capacity) + rackWeight * rackUsable[first + index];
+            candidates.push_back({first + index, capacity, cost});
             total += capacity;
         }
     }
@@ -84,11 +110,10 @@
         }
         candidate.capacity = std::min(candidate.capacity, missing);
         missing -= candidate.capacity;
-        placement.cost += workerCost(shape, group[candidate.worker - first], candidate.capacity);
+        placement.cost
+            += workerCost(shape, group[candidate.worker - first], candidate.capacity) + rackWeight * rackUsable[candidate.worker];
         placement.chosen.push_back(candidate);
     }
-    // Among groups that fit alike, the one with the least room keeps the larger ones whole.
-    placement.cost += rackWeight * usable;
     return placement;
 }
 
@@ -128,22 +153,19 @@
     if (adjacency == Adjacency::Worker) {
         return first + 1;
     }
-    std::size_t end = first;
-    while (end < workers.size() && workers[end].rack == workers[first].rack) {
-        ++end;
-    }
-    return end;
+    return rackEnd(workers, first);
 }
 
 } // namespace
 
 std::optional<GangPlacement> GangPlacer::place(const GangShape &shape, std::span<const WorkerView> workers) const
 {
+    const std::vector<std::uint32_t> rackUsable = usableByRack(workers);
     std::optional<GroupPlacement> best;
     for (std::size_t first = 0; first < workers.size();) {
         const std::size_t end = groupEnd(workers, first, shape.adjacency);
         const auto group = workers.subspan(first, end - first);
-        std::optional<GroupPlacement> placement = placeInGroup(shape, group, static_cast<std::uint32_t>(first), m_order);
+        std::optional<GroupPlacement> placement = placeInGroup(shape, group, static_cast<std::uint32_t>(first), rackUsable, m_order);
         first = end;
         if (placement && (!best || placement->cost < best->cost)) {
             best = std::move(placement);
--- a/src/placement/GangShape.h
+++ b/src/placement/GangShape.h
@@ -14,6 +14,9 @@
     std::uint32_t processors = 1; ///< Processor cores of each task.
     std::uint32_t memoryMegabytes = 0; ///< Memory of each task, in megabytes.
     Adjacency adjacency = Adjacency::FailureDomain; ///< How near the tasks are to each other.
+
+    /// Compares all fields.
+    bool operator==(const GangShape &) const = default;
 };
 
 } // namespace banyanlock
--- a/src/schedule/Cell.cpp
+++ b/src/schedule/Cell.cpp
@@ -59,6 +59,7 @@
 {
     m_jobsReadVersion = std::max(m_jobsReadVersion, version);
     m_storeFailed = false;
+    m_queueChanged = true;
     wake(now);
 }
 
@@ -131,9 +132,10 @@
         for (Gang &gang : m_gangs) {
             advance(gang, now);
         }
-        std::erase_if(m_gangs, [](const Gang &gang) {
+        const std::size_t finished = std::erase_if(m_gangs, [](const Gang &gang) {
             return gang.finished;
         });
+        m_queueChanged = m_queueChanged || finished > 0;
         indexGangs();
         schedule(now);
     }
@@ -207,7 +209,7 @@
 
 CellSnapshot Cell::snapshot(TimePoint now) const
 {
-    return {m_workers, m_gangs, m_context.jobs, m_context.plan, firstWorker(), now};
+    return {m_workers, m_gangs, m_context.jobs, m_context.plan, firstWorker(), now, m_withheld};
 }
 
 bool Cell::isSound() const
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -27,6 +28,7 @@
     PlacementOrder order = PlacementOrder::BestFit; ///< How to choose among placements.
     bool respectReservations = true; ///< Whether placements look at reservations.
     bool orderByArrival = false; ///< Baseline: jobs start in the order of submission.
+    bool compact = true; ///< Whether small gangs are moved to make whole room for a large one.
     std::uint32_t failureLimit = 3; ///< Runs with a failed task after which a job has failed.
 };
 
@@ -173,6 +175,25 @@
         bool reportWanted = false; // a stop waits for a report that is newer than itself
     };
 
+    /// What decides whether a job finds a place; jobs that are alike in it fail alike.
+    struct PlacementNeed {
+        std::string_view workspace;
+        GangShape shape;
+        bool canCheckpoint = false;
+        bool urgent = false;
+        bool mayCompact = false;
+        bool aged = false;
+
+        bool operator==(const PlacementNeed &) const = default;
+    };
+
+    /// One look at the queue.
+    struct QueuePass {
+        std::vector<PlacementNeed> failed; // what found no place
+        std::size_t waits = 0; // jobs for which accelerators are withheld
+        std::size_t moveTries = 0;
+    };
+
     // Cell.cpp: ownership, events and steps
     void wake(TimePoint now);
     void step(TimePoint now);
@@ -215,9 +236,18 @@
     // CellSchedule.cpp: queue and placement
     void schedule(TimePoint now);
     std::vector<const JobRecord *> queuedJobs(TimePoint now);
-    bool tryPlace(const JobRecord &job, bool heldBack, TimePoint now);
-    std::optional<PlannedGang> plan(const JobRecord &job, bool heldBack, TimePoint now) const;
+    bool tryPlace(const JobRecord &job, QueuePass &pass, TimePoint now);
+    void leaveWaiting(const JobRecord &job, QueuePass &pass, TimePoint now);
+    PlacementNeed needOf(const JobRecord &job, TimePoint now) const;
+    bool mayCompact(const JobRecord &job, TimePoint now) const;
+    std::optional<PlannedGang> plan(const JobRecord &job, TimePoint now) const;
+    std::optional<PlannedGang> planCompaction(const JobRecord &job, const CellSnapshot &cell) const;
+    bool isMovable(const Gang &gang, const JobRecord &job, TimePoint now) const;
+    bool withhold(const JobRecord &job, TimePoint now);
+    void forgetEnded(TimePoint now);
+    Duration waitOf(const JobRecord &job, TimePoint now) const;
     void addGang(const JobRecord &job, PlannedGang planned, TimePoint now);
+    bool mayMove(const JobRecord &job, TimePoint now) const;
     void tryMove(const JobRecord &job, TimePoint now);
     bool withinLimit(const JobSpec &spec) const;
     bool isOnOwnReservation(const GangPlacement &placement, const std::string &workspace) const;
@@ -225,6 +255,7 @@
     double weightedUse(const std::string &workspace) const;
     bool isAged(const JobRecord &job, TimePoint now) const;
     void countHeld();
+    void hold(const Gang &gang);
 
     // CellMessages.cpp: messages to workers
     void sendMessages(TimePoint now);
@@ -244,18 +275,22 @@
     std::vector<Gang> m_gangs;
     std::unordered_map<std::string, std::size_t> m_gangIndex; // place in m_gangs by job
     std::vector<CellAction> m_actions;
+    std::vector<AcceleratorMask> m_withheld; // by worker, for jobs that have waited long; made anew in each step
     std::map<std::string, std::uint32_t> m_lastRuns;
     std::map<std::string, TimePoint> m_firstSeen;
-    std::map<std::string, TimePoint> m_movedAt;
+    std::map<std::string, TimePoint> m_moveAgainAt;
     TimerId m_timer;
     TimePoint m_nextStep{};
+    TimePoint m_lastSchedule{};
+    TimePoint m_lastForgetting{};
     TimePoint m_storeRetryAt{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_jobsReadVersion = 0;
     std::uint64_t m_term = 0;
     bool m_learned = false;
+    bool m_queueChanged = false; // jobs or room may have come since the queue was last looked at
+    bool m_storeFailed = false; // since the last read of the tables
     bool m_renewalsAllowed = true;
 };
 
 } // namespace banyanlock
-    bool m_storeFailed = false; // since the last read of the tables
--- a/src/schedule/CellGangs.cpp
+++ b/src/schedule/CellGangs.cpp
@@ -164,6 +164,7 @@
 {
     if (everyTask(gang, now, {Presence::Running, Presence::Succeeded, Presence::Failed})) {
         gang.phase = GangPhase::Running;
+        gang.runningSince = now;
         m_context.counters.add(Counter::GangsStarted);
         m_actions.emplace_back(ReportGang{"gang_started", gang.job, gang.run, ""});
         advanceRunning(gang, now);
--- a/src/schedule/CellPlanner.cpp
+++ b/src/schedule/CellPlanner.cpp
@@ -20,19 +20,32 @@
     return mask & ~worker.held;
 }
 
-AcceleratorMask usableAccelerators(PlacementPass pass, AcceleratorMask free, AcceleratorMask stoppable, AcceleratorMask own,
-                                   AcceleratorMask reserved)
+/// Accelerators of one worker, by what a job may do with them.
+struct AcceleratorSets {
+    AcceleratorMask all = 0;
+    AcceleratorMask free = 0;
+    AcceleratorMask stoppable = 0;
+    AcceleratorMask own = 0;
+    AcceleratorMask reserved = 0;
+    AcceleratorMask withheld = 0;
+};
+
+AcceleratorMask usableAccelerators(PlacementPass pass, const AcceleratorSets &sets)
 {
-    const AcceleratorMask open = own | ~reserved;
+    // A guarantee goes before a wait.
+    const AcceleratorMask allowed = sets.own | ~sets.withheld;
+    const AcceleratorMask open = (sets.own | ~sets.reserved) & allowed;
     switch (pass) {
     case PlacementPass::OwnOrUnreserved:
-        return free & open;
+        return sets.free & open;
     case PlacementPass::ReclaimOwn:
-        return (free & open) | (stoppable & own);
+        return (sets.free & open) | (sets.stoppable & sets.own);
     case PlacementPass::Borrow:
-        return free;
+        return sets.free & allowed;
     case PlacementPass::Preempt:
-        return (free | stoppable) & open;
+        return (sets.free | sets.stoppable) & open;
+    case PlacementPass::Await:
+        return sets.all & open;
     }
     return 0;
 }
@@ -76,13 +89,21 @@
         view.rack = worker.rack;
         view.accelerators = worker.info.accelerators;
         if (cell.workers.isUsable(worker, cell.now)) {
-            const AcceleratorMask free = allAccelerators(worker.info) & ~worker.held & ~orphanedAccelerators(worker);
-            const AcceleratorMask own = m_respectReservations ? cell.plan.reservedFor(cell.firstWorker + index, spec.workspace) : 0;
-            const AcceleratorMask reserved = m_respectReservations ? cell.plan.reservedOn(cell.firstWorker + index) : 0;
-            view.usable = usableAccelerators(pass, free, stoppable[index].accelerators, own, reserved);
-            view.preferred = view.usable & (pass == PlacementPass::Preempt ? free : own);
-            const std::uint32_t processorsHeld = worker.processorsHeld - std::min(worker.processorsHeld, stoppable[index].processors);
-            const std::uint32_t memoryHeld = worker.memoryHeld - std::min(worker.memoryHeld, stoppable[index].memoryMegabytes);
+            AcceleratorSets sets;
+            sets.all = allAccelerators(worker.info);
+            sets.free = sets.all & ~worker.held & ~orphanedAccelerators(worker);
+            sets.stoppable = stoppable[index].accelerators;
+            sets.own = m_respectReservations ? cell.plan.reservedFor(cell.firstWorker + index, spec.workspace) : 0;
+            sets.reserved = m_respectReservations ? cell.plan.reservedOn(cell.firstWorker + index) : 0;
+            sets.withheld = cell.withheld.empty() ? 0 : cell.withheld[index];
+            const bool stops = pass == PlacementPass::Preempt || pass == PlacementPass::Await;
+            view.usable = usableAccelerators(pass, sets);
+            view.preferred = view.usable & (stops ? sets.free : sets.own);
+            const bool waits = pass == PlacementPass::Await;
+            const std::uint32_t processorsGiven = waits ? worker.processorsHeld : stoppable[index].processors;
+            const std::uint32_t memoryGiven = waits ? worker.memoryHeld : stoppable[index].memoryMegabytes;
+            const std::uint32_t processorsHeld = worker.processorsHeld - std::min(worker.processorsHeld, processorsGiven);
+            const std::uint32_t memoryHeld = worker.memoryHeld - std::min(worker.memoryHeld, memoryGiven);
             view.processors = worker.info.processors - std::min(worker.info.processors, processorsHeld);
             view.memoryMegabytes = worker.info.memoryMegabytes - std::min(worker.info.memoryMegabytes, memoryHeld);
         }
@@ -95,7 +116,8 @@
 {
     std::vector<std::string> victims;
     for (const Gang &gang : cell.gangs) {
-        if (gang.phase != GangPhase::Reclaiming && overlaps(placement, gang.placement)) {
+        // A late start of a gang that was given up may overlap a running one; it stops already.
+        if (gang.phase == GangPhase::Running && overlaps(placement, gang.placement)) {
             victims.push_back(gang.job);
         }
     }
@@ -115,8 +137,36 @@
     if (!placement) {
         return std::nullopt;
     }
+    if (pass == PlacementPass::Await) {
+        return PlannedGang{std::move(*placement), {}, false};
+    }
     std::vector<std::string> victims = victimsOf(*placement, cell);
-    return PlannedGang{std::move(*placement), std::move(victims)};
+    return PlannedGang{std::move(*placement), std::move(victims), false};
+}
+
+bool CellPlanner::canRehouse(const PlannedGang &planned, const CellSnapshot &cell) const
+{
+    std::vector<AcceleratorMask> taken(cell.workers.all().size(), 0);
+    const auto take = [&](const GangPlacement &placement) {
+        for (const TaskPlacement &task : placement) {
+            taken[task.worker] |= task.accelerators;
+        }
+    };
+    take(planned.placement);
+    const std::vector<Stoppable> nothing(taken.size());
+    for (const std::string &victim : planned.victims) {
+        const JobSpec &spec = cell.jobs.find(victim)->spec;
+        std::vector<WorkerView> views = makeViews(PlacementPass::Borrow, spec, cell, nothing);
+        for (std::size_t index = 0; index < views.size(); ++index) {
+            views[index].usable &= ~taken[index];
+        }
+        const std::optional<GangPlacement> placement = m_placer.place(spec.shape, views);
+        if (!placement) {
+            return false;
+        }
+        take(*placement);
+    }
+    return true;
 }
 
 } // namespace banyanlock
--- a/src/schedule/CellPlanner.h
+++ b/src/schedule/CellPlanner.h
@@ -21,12 +21,14 @@
     ReclaimOwn, ///< As above, and its own reservation's that others have borrowed.
     Borrow, ///< Any free ones.
     Preempt, ///< Free ones, and those of work that may be stopped for this job.
+    Await, ///< Any that it may ever take, whatever runs there now.
 };
 
 /// A placement with the gangs that must stop for it.
 struct PlannedGang {
     GangPlacement placement; ///< Places of the tasks.
     std::vector<std::string> victims; ///< Jobs whose gangs must stop first.
+    bool moves = false; ///< These gangs have places elsewhere in the cell.
 };
 
 /// What the planner looks at.
@@ -37,6 +39,7 @@
     const ReservationPlan &plan; ///< Reservations of the guarantees.
     std::uint32_t firstWorker = 0; ///< Index in the fleet of the cell's first worker.
     TimePoint now{}; ///< Current time.
+    std::span<const AcceleratorMask> withheld; ///< Accelerators of each worker that wait for another job; empty when none do.
 };
 
 /// Finds placements for jobs in one cell, with respect for everyone's reservations.
@@ -62,6 +65,12 @@
     /// @return A placement, or nothing.
     std::optional<PlannedGang> plan(PlacementPass pass, const JobSpec &spec, const CellSnapshot &cell, const MayStop &mayStop) const;
 
+    /// Decides whether the gangs that must stop for a placement find places elsewhere in the cell.
+    /// @param planned The placement.
+    /// @param cell State of the cell.
+    /// @return Whether all of them do, at once.
+    bool canRehouse(const PlannedGang &planned, const CellSnapshot &cell) const;
+
 private:
     /// What gangs that may be stopped hold on one worker.
     struct Stoppable {
--- a/src/schedule/CellWorkers.h
+++ b/src/schedule/CellWorkers.h
@@ -22,6 +22,9 @@
     Duration prepareLimit = fromMilliseconds(2000); ///< Limit for preparing a gang.
     Duration checkpointGrace = fromMilliseconds(10000); ///< Time that a checkpoint may take.
     Duration moveAfter = fromMilliseconds(2000); ///< Wait after which a job looks at other cells.
+    Duration compactAfter = fromMilliseconds(3000); ///< Wait after which small gangs are moved to make whole room for a large one.
+    Duration compactInterval = fromMilliseconds(20000); ///< Time that a gang runs before it is moved.
+    Duration withholdAfter = fromMilliseconds(20000); ///< Wait after which accelerators are kept free for a job.
     Duration agingLimit = fromMilliseconds(60000); ///< Wait after which a job goes ahead of its share.
     Duration firstQuarantine = fromMilliseconds(30000); ///< First quarantine of a worker; doubled each time in a row.
     Duration longestQuarantine = fromMilliseconds(600000); ///< Longest quarantine.
--- a/src/schedule/Gang.h
+++ b/src/schedule/Gang.h
@@ -47,6 +47,7 @@
     bool transactionSent = false; ///< A transaction of the current step is under way.
     bool finished = false; ///< The gang can be removed.
     TimePoint startBy{}; ///< Latest start of its tasks: shortly after the transaction was sent, whenever its answer came.
+    TimePoint runningSince{}; ///< When all its tasks were first seen running.
     TimePoint stopSince{}; ///< When stopping began.
     JobRecord written; ///< What the transaction under way writes.
     GangOutcome outcome; ///< What the row shall say when the gang has stopped.
--- a/tests/schedule/CellPlannerTest.cpp
+++ b/tests/schedule/CellPlannerTest.cpp
@@ -114,6 +114,35 @@
     BOOST_TEST(!tryPass(PlacementPass::ReclaimOwn, makeJob("other", 1, 8, false)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(withheldAcceleratorsGoToTheirOwnerOnly)
+{
+    const std::uint32_t reserved = plan.reservedFor(0, "owner") != 0 ? 0 : 1;
+    const std::vector<AcceleratorMask> withheld{0xFF, 0xFF};
+    CellSnapshot cell = snapshot();
+    cell.withheld = withheld;
+    const auto none = [](const Gang &) {
+        return false;
+    };
+    BOOST_TEST(!planner.plan(PlacementPass::OwnOrUnreserved, makeJob("other", 1, 1, true), cell, none).has_value());
+    BOOST_TEST(!planner.plan(PlacementPass::Borrow, makeJob("other", 1, 1, true), cell, none).has_value());
+    const std::optional<PlannedGang> planned = planner.plan(PlacementPass::OwnOrUnreserved, makeJob("owner", 1, 8, false), cell, none);
+    BOOST_REQUIRE(planned.has_value());
+    BOOST_TEST(planned->placement[0].worker == reserved);
+}
+
+BOOST_AUTO_TEST_CASE(awaitedAcceleratorsAreThoseWhereLeastIsMissing)
+{
+    const std::uint32_t open = plan.reservedFor(0, "owner") != 0 ? 1 : 0;
+    runBorrower(open, 0x0F);
+    const std::optional<PlannedGang> planned = tryPass(PlacementPass::Await, makeJob("other", 1, 4, false));
+    BOOST_REQUIRE(planned.has_value());
+    BOOST_TEST(planned->placement[0].worker == open);
+    BOOST_TEST(planned->placement[0].accelerators == 0xF0U);
+    BOOST_TEST(planned->victims.empty());
+    // The other worker is reserved, so a gang over both can't even wait for it.
+    BOOST_TEST(!tryPass(PlacementPass::Await, makeJob("other", 2, 8, false)).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(silentAndQuarantinedWorkersGetNothing)
 {
     workers.all()[0].lastReport = start - fromMilliseconds(10000);
