Split the virtual worlds, and make their store slow

Found by it and left: a claim that takes effect after its caller's deadline holds its key until it is erased by hand.

--- /dev/null
+++ b/tests/dispatch/DispatchProcesses.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "DispatchWorld.h"
+#include "support/Freezable.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace banyanlock
+{
+
+constexpr Duration breakNotice = fromMilliseconds(5); ///< Time until a peer sees that a connection broke.
+
+/// @param body Body of a request.
+/// @return Body of the answer that a backend server gives to it.
+inline std::string answerTo(const std::string &body)
+{
+    return "answer to " + body;
+}
+
+/// An entry of a dispatch world.
+struct DispatchWorld::EntryProcess : Freezable {
+    int index = 0;
+    std::uint64_t incarnation = 0;
+    TimerService timers;
+    TimePoint lastExpiry{};
+    std::unique_ptr<RequestPipeline> pipeline;
+    std::map<RequestHandle, std::size_t> requests;
+};
+
+/// An agent of a dispatch world, with its backend server.
+struct DispatchWorld::AgentProcess : Freezable {
+    int index = 0;
+    std::uint64_t incarnation = 0;
+    Duration clockOffset{};
+    std::unique_ptr<AgentGate> gate;
+    std::map<AttemptId, int> replyTo;
+    std::map<AttemptId, std::uint64_t> replyToIncarnation;
+    bool backendBroken = false;
+    bool dead = false;
+    TimePoint drainingSince{};
+    int runningAtBackend = 0;
+
+    TimePoint clock(TimePoint now) const
+    {
+        return now + clockOffset;
+    }
+};
+
+} // namespace banyanlock
--- a/tests/dispatch/DispatchWorld.h
+++ b/tests/dispatch/DispatchWorld.h
@@ -27,6 +27,7 @@
     double backendFailure = 0; ///< Chance that a backend server fails after it ran a request.
     double storeDown = 0; ///< Chance that a claim finds the store down.
     double storeLosesAnswer = 0; ///< Chance that the answer of a claim that took effect is lost.
+    double storeSlow = 0; ///< Chance that an operation on a claim takes up to two seconds.
     std::uint16_t slots = 2; ///< Slots of each backend server.
     AnyRoutingPolicy policy; ///< Routing policy of all entries.
     bool unlimitedRetries = false; ///< Baseline: no retry budget.
@@ -205,6 +206,8 @@
     struct EntryProcess;
     struct AgentProcess;
 
+    EntryProcess &entryAt(int index) const;
+    AgentProcess &agentAt(int index) const;
     void startEntry(int index);
     void startAgent(int index);
     void announceAll(int index, std::uint64_t incarnation);
@@ -223,6 +226,7 @@
     void perform(AgentProcess &agent, ForwardToBackend &action);
     void perform(AgentProcess &agent, SendReply &action);
     void failAttempt(int entry, std::uint64_t incarnation, AttemptId attempt, TransportFailure failure, Duration delay);
+    Duration storeDelay();
     ClaimResult claim(const KeyClaim &claim);
     void reach(RequestStep step, int agent);
     void sendMessage(MessageFault fault, int entry, int agent, const std::function<void()> &deliver);
--- a/tests/dispatch/RandomisedDispatchTest.cpp
+++ b/tests/dispatch/RandomisedDispatchTest.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::uint64_t fixedSeeds = 300;
+constexpr std::uint64_t slowStoreSeeds = 100;
 
 /// Draws the faults of one run; most runs have two or three kinds.
 DispatchOptions drawOptions(Random &random)
@@ -82,10 +83,12 @@
     }
 }
 
-void runSeed(std::uint64_t seed, OutcomeCounts &counts)
+void runSeed(std::uint64_t seed, OutcomeCounts &counts, double storeSlow = 0)
 {
     Random random(seed * 2 + 1);
-    DispatchWorld world(seed, drawOptions(random));
+    DispatchOptions options = drawOptions(random);
+    options.storeSlow = storeSlow;
+    DispatchWorld world(seed, options);
     for (int round = 0; round < 30; ++round) {
         sendBurst(world, random);
         if (random.chance(0.4)) {
@@ -120,6 +123,16 @@
     BOOST_TEST(counts.unknown > seeds.count);
 }
 
+BOOST_AUTO_TEST_CASE(promisesHoldWithASlowStore)
+{
+    OutcomeCounts counts;
+    const SeedRange seeds = seedRange(slowStoreSeeds);
+    for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+        runSeed(seed, counts, 0.3);
+    }
+    BOOST_TEST(counts.answered > seeds.count);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
--- a/tests/schedule/RandomisedScheduleTest.cpp
+++ b/tests/schedule/RandomisedScheduleTest.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::uint64_t fixedSeeds = 200;
+constexpr std::uint64_t slowStoreSeeds = 100;
 
 ScheduleOptions drawOptions(Random &random)
 {
@@ -118,10 +119,12 @@
     counts.released += world.counters().value(Counter::GangsReleased);
 }
 
-void runSeed(std::uint64_t seed, EventCounts &counts)
+void runSeed(std::uint64_t seed, EventCounts &counts, double storeSlow = 0)
 {
     Random random(seed * 2 + 1);
-    ScheduleWorld world(seed, drawOptions(random));
+    ScheduleOptions options = drawOptions(random);
+    options.storeSlow = storeSlow;
+    ScheduleWorld world(seed, options);
     putContracts(world);
     world.takeCell(0, 0);
     world.takeCell(1, 1);
@@ -183,6 +186,16 @@
     BOOST_TEST(counts.succeeded > 0U);
 }
 
+BOOST_AUTO_TEST_CASE(promisesHoldWithASlowStore)
+{
+    EventCounts counts;
+    const SeedRange seeds = seedRange(slowStoreSeeds);
+    for (std::uint64_t seed = seeds.first; seed < seeds.first + seeds.count; ++seed) {
+        runSeed(seed, counts, 0.3);
+    }
+    BOOST_TEST(counts.succeeded > seeds.count);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
--- /dev/null
+++ b/tests/schedule/ScheduleProcesses.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "ScheduleWorld.h"
+#include "support/Freezable.h"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// An entry of a schedule world.
+struct ScheduleWorld::EntryProcess : Freezable {
+    int index = 0;
+    std::uint64_t incarnation = 0;
+    TimerService timers;
+    std::unique_ptr<Configuration> configuration;
+    std::unique_ptr<ReservationPlan> plan;
+    JobTable jobs;
+    std::vector<std::unique_ptr<Cell>> cells;
+    std::uint64_t version = 0;
+    TimePoint lastPoll{};
+    TimePoint readsStaleUntil{};
+    TimePoint storeCutUntil{};
+    ScanResult oldScan;
+};
+
+/// A worker of a schedule world.
+struct ScheduleWorld::WorkerProcess : Freezable {
+    int index = 0;
+    std::unique_ptr<WorkerModel> model;
+    Duration clockOffset{};
+    TimePoint cutUntil{};
+    std::set<TaskKey> known;
+    std::uint64_t highestEpoch = 0;
+};
+
+} // namespace banyanlock
--- a/tests/schedule/ScheduleWorld.cpp
+++ b/tests/schedule/ScheduleWorld.cpp
@@ -1,10 +1,9 @@
-#include "ScheduleWorld.h"
+#include "ScheduleProcesses.h"
 
 #include "contract/ContractCodec.h"
 #include "schedule/CellTable.h"
 #include "schedule/JobCodec.h"
 #include "schedule/JobRouter.h"
-#include "support/Freezable.h"
 
 #include <algorithm>
 #include <bit>
@@ -18,35 +17,9 @@
 constexpr Duration pollInterval = fromMilliseconds(500);
 constexpr Duration tickInterval = fromMilliseconds(10);
 constexpr Duration workerTick = fromMilliseconds(50);
-constexpr Duration messageTimeout = fromMilliseconds(1000);
-constexpr Duration storeTimeout = fromMilliseconds(2000);
 
 } // namespace
 
-struct ScheduleWorld::EntryProcess : Freezable {
-    int index = 0;
-    std::uint64_t incarnation = 0;
-    TimerService timers;
-    std::unique_ptr<Configuration> configuration;
-    std::unique_ptr<ReservationPlan> plan;
-    JobTable jobs;
-    std::vector<std::unique_ptr<Cell>> cells;
-    std::uint64_t version = 0;
-    TimePoint lastPoll{};
-    TimePoint readsStaleUntil{};
-    TimePoint storeCutUntil{};
-    ScanResult oldScan;
-};
-
-struct ScheduleWorld::WorkerProcess : Freezable {
-    int index = 0;
-    std::unique_ptr<WorkerModel> model;
-    Duration clockOffset{};
-    TimePoint cutUntil{};
-    std::set<TaskKey> known;
-    std::uint64_t highestEpoch = 0;
-};
-
 ScheduleWorld::ScheduleWorld(std::uint64_t seed, ScheduleOptions options)
     : m_random(seed)
     , m_options(options)
@@ -94,6 +67,12 @@
     m_network.runUntil(m_network.now() + length);
 }
 
+Duration ScheduleWorld::storeDelay()
+{
+    const bool slow = m_options.storeSlow > 0 && m_random.chance(m_options.storeSlow);
+    return slow ? fromMilliseconds(m_random.below(3000)) : Duration(m_random.below(5000));
+}
+
 bool ScheduleWorld::storeIsUp() const
 {
     return m_network.now() >= m_storeDownUntil;
@@ -106,6 +85,16 @@
 
 // ---- processes
 
+ScheduleWorld::EntryProcess &ScheduleWorld::entryAt(int index) const
+{
+    return *m_entries[static_cast<std::size_t>(index)];
+}
+
+ScheduleWorld::WorkerProcess &ScheduleWorld::workerAt(int index) const
+{
+    return *m_workers[static_cast<std::size_t>(index)];
+}
+
 void ScheduleWorld::startEntry(int index)
 {
     auto entry = std::make_unique<EntryProcess>();
@@ -144,7 +133,7 @@
 
 void ScheduleWorld::withEntry(int index, std::uint64_t incarnation, const std::function<void(EntryProcess &)> &event)
 {
-    EntryProcess &entry = *m_entries[static_cast<std::size_t>(index)];
+    EntryProcess &entry = entryAt(index);
     if (entry.incarnation != incarnation) {
         return;
     }
@@ -162,7 +151,7 @@
 
 void ScheduleWorld::withWorker(int index, const std::function<void(WorkerProcess &)> &event)
 {
-    WorkerProcess &worker = *m_workers[static_cast<std::size_t>(index)];
+    WorkerProcess &worker = workerAt(index);
     if (worker.isFrozen(m_network.now())) {
         worker.keep([this, index, event] {
             withWorker(index, event);
@@ -174,10 +163,10 @@
 
 void ScheduleWorld::tickEntry(int index, std::uint64_t incarnation)
 {
-    if (m_entries[static_cast<std::size_t>(index)]->incarnation != incarnation) {
+    if (entryAt(index).incarnation != incarnation) {
         return;
     }
-    if (!m_entries[static_cast<std::size_t>(index)]->isFrozen(m_network.now())) {
+    if (!entryAt(index).isFrozen(m_network.now())) {
         withEntry(index, incarnation, [this](EntryProcess &entry) {
             if (m_network.now() - entry.lastPoll >= pollInterval) {
                 entry.lastPoll = m_network.now();
@@ -212,7 +201,7 @@
     }
     const std::vector<std::string> tables{ConfigurationRows::table, jobTable, cellTable};
     const ScanResult scan = m_store.scan(tables, entry.version);
-    m_network.after(Duration(m_random.below(5000)), [this, scan, index = entry.index, incarnation = entry.incarnation] {
+    m_network.after(storeDelay(), [this, scan, index = entry.index, incarnation = entry.incarnation] {
         withEntry(index, incarnation, [this, scan](EntryProcess &reader) {
             adopt(reader, scan);
         });
@@ -281,7 +270,7 @@
     if (!storeIsUp()) {
         return;
     }
-    withEntry(entry, m_entries[static_cast<std::size_t>(entry)]->incarnation, [this, domain](EntryProcess &taking) {
+    withEntry(entry, entryAt(entry).incarnation, [this, domain](EntryProcess &taking) {
         TableTransaction transaction;
         transaction.writes.push_back({cellTable, domainName(domain), "entry-" + std::to_string(taking.index)});
         const CommitResult result = m_store.commit(transaction);
@@ -357,13 +346,8 @@
 
 void ScheduleWorld::freezeEntry(int entry, Duration length)
 {
-    EntryProcess &process = *m_entries[static_cast<std::size_t>(entry)];
-    process.freeze(m_network.now() + length);
-    m_network.after(length, [this, entry, incarnation = process.incarnation] {
-        EntryProcess &thawed = *m_entries[static_cast<std::size_t>(entry)];
-        if (thawed.incarnation == incarnation) {
-            thawed.thaw();
-        }
+    freezeFor(m_network, length, [this, entry, incarnation = entryAt(entry).incarnation]() -> Freezable * {
+        return entryAt(entry).incarnation == incarnation ? &entryAt(entry) : nullptr;
     });
 }
 
@@ -374,25 +358,24 @@
 
 void ScheduleWorld::freezeWorker(int worker, Duration length)
 {
-    m_workers[static_cast<std::size_t>(worker)]->freeze(m_network.now() + length);
-    m_network.after(length, [this, worker] {
-        m_workers[static_cast<std::size_t>(worker)]->thaw();
+    freezeFor(m_network, length, [this, worker]() -> Freezable * {
+        return &workerAt(worker);
     });
 }
 
 void ScheduleWorld::cutWorker(int worker, Duration length)
 {
-    m_workers[static_cast<std::size_t>(worker)]->cutUntil = m_network.now() + length;
+    workerAt(worker).cutUntil = m_network.now() + length;
 }
 
 void ScheduleWorld::cutEntryFromStore(int entry, Duration length)
 {
-    m_entries[static_cast<std::size_t>(entry)]->storeCutUntil = m_network.now() + length;
+    entryAt(entry).storeCutUntil = m_network.now() + length;
 }
 
 void ScheduleWorld::makeReadsStale(int entry, Duration length)
 {
-    m_entries[static_cast<std::size_t>(entry)]->readsStaleUntil = m_network.now() + length;
+    entryAt(entry).readsStaleUntil = m_network.now() + length;
 }
 
 void ScheduleWorld::breakStore(Duration length)
@@ -413,6 +396,7 @@
     m_options.network = NetworkFaults();
     m_options.storeLosesAnswer = 0;
     m_options.storeLosesRequest = 0;
+    m_options.storeSlow = 0;
     m_options.staleReads = 0;
     m_storeDownUntil = m_network.now();
     for (const std::unique_ptr<WorkerProcess> &worker : m_workers) {
@@ -420,238 +404,4 @@
     }
 }
 
-// ---- actions of the cells
-
-void ScheduleWorld::settle(EntryProcess &entry)
-{
-    for (std::size_t cell = 0; cell < entry.cells.size(); ++cell) {
-        for (CellAction &action : entry.cells[cell]->takeActions()) {
-            std::visit(
-                [&](auto &item) {
-                    perform(entry, cell, item);
-                },
-                action);
-        }
-    }
-}
-
-void ScheduleWorld::perform(EntryProcess &entry, std::size_t cell, SendWorkerMessage &action)
-{
-    const auto place = std::ranges::find(m_fleet.workers(), action.worker, &WorkerInfo::name);
-    const auto target = static_cast<int>(place - m_fleet.workers().begin());
-    const std::uint64_t term = entry.cells[cell]->term();
-    const auto done = std::make_shared<bool>(false);
-    // Exactly one of report and silence comes back.
-    const auto comeBack = [this, cell, term, done, name = action.worker, index = entry.index,
-                           incarnation = entry.incarnation](const std::optional<WorkerReport> &report) {
-        withEntry(index, incarnation, [this, cell, term, done, name, report](EntryProcess &owner) {
-            if (std::exchange(*done, true) || owner.cells[cell]->term() != term) {
-                return;
-            }
-            if (report) {
-                owner.cells[cell]->onReport(name, *report, m_network.now());
-            } else {
-                owner.cells[cell]->onSilence(name, m_network.now());
-            }
-        });
-    };
-    NetworkFaults link = m_options.network;
-    link.duplication = 0; // HTTP over TCP delivers a message once
-    const auto deliver = [this, target, link, comeBack, message = action.message] {
-        if (m_network.now() < m_workers[static_cast<std::size_t>(target)]->cutUntil) {
-            return;
-        }
-        withWorker(target, [this, link, comeBack, message](WorkerProcess &worker) {
-            const std::uint64_t startsBefore = worker.model->starts();
-            const WorkerReport report = worker.model->onMessage(message, m_network.now() + worker.clockOffset);
-            if (report.accepted && message.epoch < worker.highestEpoch) {
-                violate(worker.model->info().name + " acted on a message of an earlier owner");
-            }
-            worker.highestEpoch = std::max(worker.highestEpoch, report.highestEpoch);
-            for (const TaskReport &task : report.tasks) {
-                if (worker.known.insert(task.task).second) {
-                    m_prepared[task.task.job + "/" + std::to_string(task.task.run)].insert(task.task.index);
-                }
-            }
-            if (worker.model->starts() != startsBefore) {
-                for (const TaskCommand &command : message.commands) {
-                    if (command.kind == TaskCommandKind::Commit) {
-                        observeStart(command.task, worker.model->info());
-                    }
-                }
-            }
-            if (m_network.now() >= worker.cutUntil) {
-                m_network.send(link, [comeBack, report] {
-                    comeBack(report);
-                });
-            }
-        });
-    };
-    m_network.send(link, deliver);
-    m_network.after(messageTimeout, [comeBack] {
-        comeBack(std::nullopt);
-    });
-}
-
-void ScheduleWorld::perform(EntryProcess &entry, std::size_t cell, CommitJob &action)
-{
-    const auto answer
-        = [this, cell, job = action.job, index = entry.index, incarnation = entry.incarnation](CommitResult result, Duration delay) {
-              m_network.after(delay, [this, cell, job, index, incarnation, result] {
-                  withEntry(index, incarnation, [this, cell, job, result](EntryProcess &owner) {
-                      owner.cells[cell]->onCommit(job, result, m_network.now());
-                  });
-              });
-          };
-    if (!storeAnswers(entry)) {
-        answer({CommitState::NotSent, 0}, fromMilliseconds(10));
-        return;
-    }
-    if (m_random.chance(m_options.storeLosesRequest)) {
-        answer({CommitState::Unknown, 0}, storeTimeout);
-        return;
-    }
-    m_network.after(Duration(m_random.below(5000)), [this, answer, transaction = action.transaction] {
-        const CommitResult result = m_store.commit(transaction);
-        const bool lost = m_random.chance(m_options.storeLosesAnswer);
-        answer(lost ? CommitResult{CommitState::Unknown, 0} : result, lost ? storeTimeout : Duration(m_random.below(5000)));
-    });
-}
-
-void ScheduleWorld::perform(EntryProcess &entry, std::size_t cell, RefreshJob &action)
-{
-    const bool available = storeIsUp();
-    const ScanResult scan
-        = available ? m_store.scan(std::vector<std::string>{jobTable, ConfigurationRows::table, cellTable}, entry.version) : ScanResult();
-    m_network.after(fromMilliseconds(5),
-                    [this, cell, available, scan, job = action.job, index = entry.index, incarnation = entry.incarnation] {
-                        withEntry(index, incarnation, [this, cell, available, scan, job](EntryProcess &owner) {
-                            if (available) {
-                                adopt(owner, scan);
-                            }
-                            owner.cells[cell]->onRefresh(job, available, m_network.now());
-                        });
-                    });
-}
-
-// ---- promises
-
-void ScheduleWorld::observeStart(const TaskKey &task, const WorkerInfo &worker)
-{
-    TrackedJob &job = m_jobs[task.job];
-    if (!job.startedAt) {
-        job.startedAt = m_network.now();
-    }
-    const auto out = m_outSince.find(worker.failureDomain);
-    if (out != m_outSince.end() && m_network.now() - out->second > outBound) {
-        violate(task.job + " started in " + worker.failureDomain + " though it is out");
-    }
-    if (job.cancelledWhileQueued) {
-        violate(task.job + " started though it was cancelled");
-    }
-    if (m_prepared[task.job + "/" + std::to_string(task.run)].size() != job.spec.shape.tasks) {
-        violate(task.job + " started before its whole gang had prepared");
-    }
-}
-
-void ScheduleWorld::observeGangs()
-{
-    std::map<std::string, std::map<std::uint32_t, std::set<std::uint32_t>>> running;
-    for (const std::unique_ptr<WorkerProcess> &worker : m_workers) {
-        for (const TaskKey &task : worker->model->runningTasks()) {
-            running[task.job][task.run].insert(task.index);
-        }
-    }
-    for (auto &[id, job] : m_jobs) {
-        const auto runs = running.find(id);
-        if (runs != running.end() && runs->second.size() > 1) {
-            violate(id + " has two runs at once");
-        }
-        const bool partial = runs != running.end() && runs->second.begin()->second.size() < job.spec.shape.tasks;
-        if (!partial) {
-            job.partialSince.reset();
-        } else if (!job.partialSince) {
-            job.partialSince = m_network.now();
-        } else if (m_network.now() - *job.partialSince > partialBound) {
-            violate("a part of " + id + " runs without the rest");
-            job.partialSince = m_network.now();
-        }
-    }
-}
-
-void ScheduleWorld::observeEnds()
-{
-    const ScanResult scan = m_store.scan(std::vector<std::string>{jobTable}, m_observedVersion);
-    m_observedVersion = scan.version;
-    for (const TableRow &row : scan.rows) {
-        const JobRecord record = valueOf(decodeJobRecord(row));
-        TrackedJob &job = m_jobs[record.id];
-        if (hasEnded(record.state) && !job.endedAt) {
-            job.endedAt = m_network.now();
-        }
-    }
-}
-
-void ScheduleWorld::checkEnd()
-{
-    for (const auto &[id, job] : m_jobs) {
-        const JobRecord record = valueOf(decodeJobRecord(*m_store.read(jobTable, id).row));
-        if (!hasEnded(record.state)) {
-            violate(id + " has not ended: " + jobStateName(record.state) + " in " + record.cell + ", " + record.reason);
-        }
-    }
-}
-
-std::uint32_t ScheduleWorld::acceleratorsInUse() const
-{
-    std::uint32_t total = 0;
-    for (const std::unique_ptr<WorkerProcess> &worker : m_workers) {
-        for (const TaskKey &task : worker->model->runningTasks()) {
-            const auto job = m_jobs.find(task.job);
-            total += job == m_jobs.end() ? 0 : job->second.spec.shape.accelerators;
-        }
-    }
-    return total;
-}
-
-std::vector<std::uint32_t> ScheduleWorld::freeByWorker() const
-{
-    std::vector<std::uint32_t> free;
-    for (const std::unique_ptr<WorkerProcess> &worker : m_workers) {
-        std::uint32_t used = 0;
-        for (const TaskKey &task : worker->model->runningTasks()) {
-            const auto job = m_jobs.find(task.job);
-            used += job == m_jobs.end() ? 0 : job->second.spec.shape.accelerators;
-        }
-        const bool out = m_outSince.contains(worker->model->info().failureDomain);
-        free.push_back(out ? 0 : worker->model->info().accelerators - used);
-    }
-    return free;
-}
-
-std::uint32_t ScheduleWorld::freeAccelerators() const
-{
-    std::uint32_t total = 0;
-    for (const std::uint32_t free : freeByWorker()) {
-        total += free;
-    }
-    return total;
-}
-
-std::uint32_t ScheduleWorld::freeInWholeRacks(std::uint32_t workers, std::uint32_t accelerators) const
-{
-    const std::vector<std::uint32_t> free = freeByWorker();
-    const auto perRack = static_cast<std::size_t>(m_options.workersPerRack);
-    std::uint32_t total = 0;
-    for (std::size_t rack = 0; rack < free.size(); rack += perRack) {
-        const auto fitting = static_cast<std::uint32_t>(std::count_if(free.begin() + static_cast<std::ptrdiff_t>(rack),
-                                                                      free.begin() + static_cast<std::ptrdiff_t>(rack + perRack),
-                                                                      [&](std::uint32_t count) {
-                                                                          return count >= accelerators;
-                                                                      }));
-        total += fitting / workers * workers * accelerators;
-    }
-    return total;
-}
-
 } // namespace banyanlock
--- a/tests/schedule/ScheduleWorld.h
+++ b/tests/schedule/ScheduleWorld.h
@@ -29,6 +29,7 @@
     NetworkFaults network; ///< Faults of all links.
     double storeLosesAnswer = 0; ///< Chance that the answer of a transaction that took effect is lost.
     double storeLosesRequest = 0; ///< Chance that a transaction never reaches the store.
+    double storeSlow = 0; ///< Chance that a transaction or a read takes up to three seconds.
     double staleReads = 0; ///< Chance that rows of an old read are adopted once more.
     double failStarts = 0; ///< Chance that a worker fails everything that it starts.
     bool routeSubmissions = false; ///< Whether the first entry's router picks the cells of jobs; else chance does.
@@ -213,6 +214,8 @@
     struct EntryProcess;
     struct WorkerProcess;
 
+    EntryProcess &entryAt(int index) const;
+    WorkerProcess &workerAt(int index) const;
     void startEntry(int index);
     void startWorker(int index);
     void withEntry(int index, std::uint64_t incarnation, const std::function<void(EntryProcess &)> &event);
@@ -232,6 +235,7 @@
     void observeGangs();
     void observeEnds();
     std::vector<std::uint32_t> freeByWorker() const;
+    Duration storeDelay();
     bool storeIsUp() const;
     bool storeAnswers(const EntryProcess &entry) const;
     CommitResult writeConfiguration(const std::string &key, const std::string &value);
--- a/tests/support/Freezable.h
+++ b/tests/support/Freezable.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Time.h"
+#include "support/VirtualNetwork.h"
 
 #include <functional>
 #include <utility>
@@ -47,4 +48,18 @@
     std::vector<std::function<void()>> m_waiting;
 };
 
+/// Stops a process for a while.
+/// @param network Where time passes.
+/// @param length How long.
+/// @param find Gives the process, or null once another has its place.
+template <typename Find> void freezeFor(VirtualNetwork &network, Duration length, Find find)
+{
+    find()->freeze(network.now() + length);
+    network.after(length, [find] {
+        if (Freezable *process = find()) {
+            process->thaw();
+        }
+    });
+}
+
 } // namespace banyanlock
