--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -95,6 +95,7 @@
 rpc_address: ${entry_rpc[$index]}
 table_url: http://127.0.0.1:$table_port
 peers: [$(IFS=,; echo "${peers[*]}")]
+${ENTRY_SETTINGS:-}
 YAML
 }
 
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -79,6 +79,7 @@
     JobsSucceeded,
     JobsFailed,
     JobsCancelled,
+    JobsErased,
     WorkersQuarantined,
     WorkerMessages,
     WorkerFailures,
--- a/src/entry/CellHost.cpp
+++ b/src/entry/CellHost.cpp
@@ -207,6 +207,13 @@
            });
 }
 
+bool CellHost::owns(const std::string &failureDomain) const
+{
+    return std::ranges::any_of(m_cells, [&](const std::unique_ptr<Cell> &cell) {
+        return cell->isOwned() && cell->failureDomain() == failureDomain;
+    });
+}
+
 bool CellHost::storeAnswers(TimePoint now) const
 {
     return now - m_mirror.lastContact() <= contactLimit;
--- a/src/entry/CellHost.h
+++ b/src/entry/CellHost.h
@@ -55,6 +55,10 @@
     /// @return Whether a draining process owns nothing any more.
     bool mayStop() const;
 
+    /// @param failureDomain Failure domain of a cell.
+    /// @return Whether this entry owns the cell.
+    bool owns(const std::string &failureDomain) const;
+
     /// @return The cells that this entry has ever owned.
     const std::vector<std::unique_ptr<Cell>> &cells() const
     {
--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -39,6 +39,7 @@
     , m_requests(m_settings, m_identity.incarnation, policy, m_loop, m_rpc, m_claims, m_counters)
     , m_jobs(m_mirror, m_table, m_identity.name, m_identity.incarnation)
     , m_cells(m_identity, m_loop, m_mirror, m_table, m_http, m_peers, m_settings.peers.size(), m_counters)
+    , m_retention(m_loop, m_mirror, m_table, m_cells, m_counters, fromMilliseconds(m_settings.endedJobRetentionMilliseconds))
     , m_api({m_identity, m_mirror, m_writer, m_requests, m_jobs, m_cells, m_peers, m_counters, m_draining})
     , m_server(m_loop, makeServerLimits(m_settings), m_counters,
                [this](const ServerRequest &request, const HttpServer::Responder &respond) {
@@ -85,9 +86,11 @@
     m_mirror.setListener([this](const MirrorChange &change, TimePoint now) {
         applyConfiguration(now);
         m_cells.onRead(change, now);
+        m_retention.onRead(change, now);
     });
     m_mirror.start();
     m_cells.start();
+    m_retention.start();
     sendHeartbeats();
     m_loop.repeat(heartbeatInterval, [this](TimePoint) {
         sendHeartbeats();
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -6,6 +6,7 @@
 #include "entry/ConfigurationWriter.h"
 #include "entry/EntryApi.h"
 #include "entry/EntrySettings.h"
+#include "entry/JobRetention.h"
 #include "entry/JobService.h"
 #include "entry/PeerTable.h"
 #include "entry/RequestService.h"
@@ -54,6 +55,7 @@
     JobService m_jobs;
     PeerTable m_peers;
     CellHost m_cells;
+    JobRetention m_retention;
     bool m_draining = false;
     EntryApi m_api;
     HttpServer m_server;
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -27,6 +27,8 @@
             "Longest timeout that a request may name."},
         Key{"queue_limit", Count, &S::queueLimit, 1, 100000, false, "Requests that may wait for one service."},
         Key{"poll_ms", Milliseconds, &S::pollMilliseconds, 50, 2000, false, "Time between two reads of the table service."},
+        Key{"ended_job_retention_ms", Milliseconds, &S::endedJobRetentionMilliseconds, 1000, 604800000, false,
+            "Time for which ended jobs are kept before their rows are erased."},
         Key{"drain_notice_ms", Milliseconds, &S::drainNoticeMilliseconds, 0, 60000, false, "Time for the balancer to notice a shutdown."},
     };
     return keys;
--- a/src/entry/EntrySettings.h
+++ b/src/entry/EntrySettings.h
@@ -26,6 +26,7 @@
     std::int64_t longestTimeoutMilliseconds = 60000; ///< Longest timeout that a request may name.
     std::int64_t queueLimit = 512; ///< Requests that may wait for one service.
     std::int64_t pollMilliseconds = 500; ///< Time between two reads of the table service.
+    std::int64_t endedJobRetentionMilliseconds = 21600000; ///< Time for which ended jobs are kept.
     std::int64_t drainNoticeMilliseconds = 1000; ///< Time for the balancer to notice a shutdown.
 };
 
--- /dev/null
+++ b/src/entry/JobRetention.cpp
@@ -0,0 +1,71 @@
+#include "entry/JobRetention.h"
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr Duration lookInterval = fromMilliseconds(1000);
+constexpr std::size_t erasedPerLook = 10; // rows a second, of the several hundred that the table service takes
+
+} // namespace
+
+JobRetention::JobRetention(EventLoop &loop, StoreMirror &mirror, TableClient &table, const CellHost &cells, Counters &counters,
+                           Duration keepFor)
+    : m_loop(loop)
+    , m_mirror(mirror)
+    , m_table(table)
+    , m_cells(cells)
+    , m_counters(counters)
+    , m_ended(keepFor)
+{
+}
+
+void JobRetention::start()
+{
+    m_loop.repeat(lookInterval, [this](TimePoint now) {
+        eraseOld(now);
+    });
+}
+
+void JobRetention::onRead(const MirrorChange &change, TimePoint now)
+{
+    for (const std::string &job : change.endedJobs) {
+        m_ended.note(job, now);
+    }
+}
+
+void JobRetention::eraseOld(TimePoint now)
+{
+    for (const std::string &job : m_ended.takeOld(now, erasedPerLook)) {
+        const JobRecord *record = m_mirror.jobs().find(job);
+        if (record == nullptr) {
+            continue;
+        }
+        if (m_cells.owns(record->cell)) {
+            erase(*record);
+        } else {
+            m_mirror.jobs().forget(job);
+        }
+    }
+}
+
+void JobRetention::erase(const JobRecord &record)
+{
+    TableTransaction transaction;
+    transaction.changeId = record.id + "/erase/" + std::to_string(record.version);
+    transaction.checks.push_back({jobTable, record.id, record.version});
+    transaction.writes.push_back({jobTable, record.id, std::nullopt});
+    m_table.commit(transaction, [this, job = record.id](const CommitResult &result) {
+        const bool gone = result.state == CommitState::Committed || result.state == CommitState::Conflict;
+        if (!gone) {
+            // Tried again after another time of keeping.
+            m_ended.note(job, EventLoop::now());
+            return;
+        }
+        m_counters.add(Counter::JobsErased);
+        m_mirror.jobs().forget(job);
+    });
+}
+
+} // namespace banyanlock
--- a/src/entry/StoreMirror.cpp
+++ b/src/entry/StoreMirror.cpp
@@ -10,6 +10,7 @@
 
 namespace banyanlock
 {
+
 StoreMirror::StoreMirror(EventLoop &loop, TableClient &table, Counters &counters, Duration pollInterval)
     : m_loop(loop)
     , m_table(table)
@@ -84,6 +85,7 @@
             m_configurationVersionRow = row;
         } else if (row.table == jobTable) {
             adoptJobRow(row);
+            noteEnd(row.key, change);
         } else if (row.table == cellTable) {
             adoptCell(row);
         } else if (row.table == workerTable) {
@@ -102,6 +104,14 @@
     m_jobs.adopt(std::move(valueOf(record)));
 }
 
+void StoreMirror::noteEnd(const std::string &job, MirrorChange &change) const
+{
+    const JobRecord *record = m_jobs.find(job);
+    if (record != nullptr && hasEnded(record->state)) {
+        change.endedJobs.push_back(job);
+    }
+}
+
 void StoreMirror::adoptWorker(const TableRow &row, MirrorChange &change)
 {
     const Result<WorkerInfo> worker = decodeWorkerInfo(row.value);
--- a/src/entry/StoreMirror.h
+++ b/src/entry/StoreMirror.h
@@ -29,6 +29,7 @@
     bool configuration = false; ///< The configuration changed.
     bool fleet = false; ///< Workers came, changed or went.
     std::vector<std::string> changedCells; ///< Failure domains whose workers changed.
+    std::vector<std::string> endedJobs; ///< Jobs whose rows say that they have ended.
 };
 
 /// This entry's copy of the platform's tables, kept up to date by one read at a time of what changed.
@@ -118,6 +119,7 @@
     void poll();
     void onScan(const ScanResult &result);
     void adoptRows(const std::vector<TableRow> &rows, MirrorChange &change);
+    void noteEnd(const std::string &job, MirrorChange &change) const;
     void adoptWorker(const TableRow &row, MirrorChange &change);
     void adoptCell(const TableRow &row);
     void replan(bool fleetChanged);
--- /dev/null
+++ b/src/schedule/EndedJobs.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "core/Time.h"
+
+#include <cstddef>
+#include <deque>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Jobs that have ended, in the order in which this process learned it, until they are old enough to be erased.
+///
+/// The age counts from the learning, so no clocks need to agree; a new process counts anew.
+class EndedJobs
+{
+public:
+    /// @param keepFor Time for which ended jobs are kept.
+    explicit EndedJobs(Duration keepFor)
+        : m_keepFor(keepFor)
+    {
+    }
+
+    /// Takes in that a job has ended.
+    /// @param job Id of the job.
+    /// @param now Current time.
+    void note(std::string job, TimePoint now)
+    {
+        m_jobs.push_back({std::move(job), now});
+    }
+
+    /// Takes out jobs that have been kept for long enough.
+    /// @param now Current time.
+    /// @param most Most jobs to take out.
+    /// @return Their ids, the oldest first.
+    std::vector<std::string> takeOld(TimePoint now, std::size_t most)
+    {
+        std::vector<std::string> old;
+        while (old.size() < most && !m_jobs.empty() && now - m_jobs.front().learnedAt >= m_keepFor) {
+            old.push_back(std::move(m_jobs.front().id));
+            m_jobs.pop_front();
+        }
+        return old;
+    }
+
+private:
+    struct EndedJob {
+        std::string id;
+        TimePoint learnedAt{};
+    };
+
+    Duration m_keepFor;
+    std::deque<EndedJob> m_jobs;
+};
+
+} // namespace banyanlock
--- a/src/schedule/JobTable.cpp
+++ b/src/schedule/JobTable.cpp
@@ -43,6 +43,14 @@
     return true;
 }
 
+void JobTable::forget(const std::string &id)
+{
+    const auto known = m_records.find(id);
+    if (known != m_records.end() && hasEnded(known->second.state)) {
+        m_records.erase(known);
+    }
+}
+
 const JobRecord *JobTable::find(const std::string &id) const
 {
     const auto found = m_records.find(id);
--- a/src/schedule/JobTable.h
+++ b/src/schedule/JobTable.h
@@ -20,6 +20,10 @@
     /// @return Whether the record was news.
     bool adopt(JobRecord record);
 
+    /// Drops the record of a job that has ended.
+    /// @param id Id of the job.
+    void forget(const std::string &id);
+
     /// @param id Id of a job.
     /// @return Its record, or null.
     const JobRecord *find(const std::string &id) const;
--- a/tests/schedule/JobCodecTest.cpp
+++ b/tests/schedule/JobCodecTest.cpp
@@ -1,3 +1,4 @@
+#include "schedule/EndedJobs.h"
 #include "schedule/JobCodec.h"
 #include "schedule/JobTable.h"
 #include "schedule/WorkerCodec.h"
@@ -92,6 +93,30 @@
     BOOST_TEST(table.liveIn("fd-a").empty());
 }
 
+BOOST_AUTO_TEST_CASE(onlyEndedJobsAreForgotten)
+{
+    JobTable table;
+    table.adopt(makeRecord(1, JobState::Running));
+    table.forget("job-1");
+    BOOST_TEST(table.find("job-1") != nullptr);
+    table.adopt(makeRecord(2, JobState::Succeeded));
+    table.forget("job-1");
+    BOOST_TEST(table.find("job-1") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(endedJobsComeOutOldestFirstOnceTheyAreOld)
+{
+    EndedJobs ended(fromMilliseconds(100));
+    const TimePoint start(fromMilliseconds(1000));
+    ended.note("a", start);
+    ended.note("b", start + fromMilliseconds(50));
+    BOOST_TEST(ended.takeOld(start + fromMilliseconds(99), 10).empty());
+    BOOST_TEST(ended.takeOld(start + fromMilliseconds(100), 10) == std::vector<std::string>{"a"});
+    ended.note("c", start + fromMilliseconds(60));
+    BOOST_TEST(ended.takeOld(start + fromMilliseconds(500), 1) == std::vector<std::string>{"b"});
+    BOOST_TEST(ended.takeOld(start + fromMilliseconds(500), 1) == std::vector<std::string>{"c"});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
