Keep libcurl's handles, and wake the RPC loop only when it sleeps

Each exchange made and freed a libcurl handle; the RPC loop made a cross-thread promise in every turn, also when work was waiting. Change: a pool of handles that are reset; the promise only before the loop sleeps.

--- a/src/platform/HttpClient.cpp
+++ b/src/platform/HttpClient.cpp
@@ -38,8 +38,9 @@
         curl_multi_cleanup(m_multi);
     }
 
-    void enqueue(std::unique_ptr<HttpExchange> exchange)
+    void send(HttpRequest request, Callback callback)
     {
+        auto exchange = std::make_unique<HttpExchange>(std::move(request), std::move(callback), m_pool);
         bool wasEmpty = false;
         {
             const std::lock_guard lock(m_mutex);
@@ -100,6 +101,7 @@
         }
     }
 
+    HandlePool m_pool;
     CURLM *m_multi;
     std::mutex m_mutex;
     std::vector<std::unique_ptr<HttpExchange>> m_incoming;
@@ -119,12 +121,13 @@
 
 void HttpClient::send(HttpRequest request, Callback callback)
 {
-    m_impl->enqueue(std::make_unique<HttpExchange>(std::move(request), std::move(callback)));
+    m_impl->send(std::move(request), std::move(callback));
 }
 
 HttpReply HttpClient::exchange(const HttpRequest &request)
 {
-    HttpExchange exchange(request, nullptr);
+    HandlePool pool;
+    HttpExchange exchange(request, nullptr, pool);
     return exchange.takeReply(curl_easy_perform(exchange.handle()));
 }
 
--- a/src/platform/HttpExchange.cpp
+++ b/src/platform/HttpExchange.cpp
@@ -12,10 +12,11 @@
 
 } // namespace
 
-HttpExchange::HttpExchange(HttpRequest request, HttpClient::Callback callback)
+HttpExchange::HttpExchange(HttpRequest request, HttpClient::Callback callback, HandlePool &pool)
     : m_request(std::move(request))
     , m_callback(std::move(callback))
-    , m_handle(curl_easy_init())
+    , m_pool(pool)
+    , m_handle(pool.take())
 {
     setOptions();
 }
@@ -23,7 +24,7 @@
 HttpExchange::~HttpExchange()
 {
     curl_slist_free_all(m_headers);
-    curl_easy_cleanup(m_handle);
+    m_pool.giveBack(m_handle);
 }
 
 std::size_t HttpExchange::appendBody(char *data, std::size_t size, std::size_t count, void *target)
--- a/src/platform/HttpExchange.h
+++ b/src/platform/HttpExchange.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "platform/HandlePool.h"
 #include "platform/HttpClient.h"
 
 #include <curl/curl.h>
@@ -14,9 +15,10 @@
     /// Prepares a handle for a request.
     /// @param request What to send; kept until the end.
     /// @param callback Called by `finish`; may be empty.
-    HttpExchange(HttpRequest request, HttpClient::Callback callback);
+    /// @param pool Where the handle comes from; outlives the exchange.
+    HttpExchange(HttpRequest request, HttpClient::Callback callback, HandlePool &pool);
 
-    /// Frees the handle.
+    /// Gives the handle back.
     ~HttpExchange();
 
     HttpExchange(const HttpExchange &) = delete;
@@ -46,6 +48,7 @@
     HttpRequest m_request;
     HttpClient::Callback m_callback;
     HttpReply m_reply;
+    HandlePool &m_pool;
     CURL *m_handle;
     curl_slist *m_headers = nullptr;
 };
--- a/src/rpc/RpcLoop.cpp
+++ b/src/rpc/RpcLoop.cpp
@@ -48,12 +48,14 @@
     m_thread.join();
 }
 
-bool RpcLoop::takeWork(std::vector<Work> &work, kj::Own<kj::CrossThreadPromiseFulfiller<void>> &wake)
+bool RpcLoop::takeWork(std::vector<Work> &work, kj::Maybe<kj::Promise<void>> &sleep)
 {
     const std::lock_guard lock(m_mutex);
     work.swap(m_work);
     if (work.empty() && !m_stopping) {
-        m_wake = kj::mv(wake);
+        auto wake = kj::newPromiseAndCrossThreadFulfiller<void>();
+        m_wake = kj::mv(wake.fulfiller);
+        sleep = kj::mv(wake.promise);
         m_sleeping = true;
     }
     return !m_stopping;
@@ -65,10 +67,10 @@
     bool running = true;
     while (running) {
         std::vector<Work> work;
-        auto wake = kj::newPromiseAndCrossThreadFulfiller<void>();
-        running = takeWork(work, wake.fulfiller);
-        if (running && work.empty()) {
-            wake.promise.wait(io.waitScope);
+        kj::Maybe<kj::Promise<void>> sleep;
+        running = takeWork(work, sleep);
+        KJ_IF_MAYBE (promise, sleep) {
+            promise->wait(io.waitScope);
             continue;
         }
         for (Work &item : work) {
--- a/src/rpc/RpcLoop.h
+++ b/src/rpc/RpcLoop.h
@@ -36,7 +36,7 @@
 
 private:
     void run();
-    bool takeWork(std::vector<Work> &work, kj::Own<kj::CrossThreadPromiseFulfiller<void>> &wake);
+    bool takeWork(std::vector<Work> &work, kj::Maybe<kj::Promise<void>> &sleep);
 
     std::mutex m_mutex;
     std::vector<Work> m_work;
