--- a/tests/schedule/JobCodecTest.cpp
+++ b/tests/schedule/JobCodecTest.cpp
@@ -1,5 +1,5 @@
-#include "schedule/EndedJobs.h"
 #include "schedule/JobCodec.h"
+#include "schedule/EndedJobs.h"
 #include "schedule/JobTable.h"
 #include "schedule/WorkerCodec.h"
 
