Name what a cell does by file, and shorten the longest functions

Change: CellQueue.cpp and CellPlacement.cpp; jobs "try another cell", gangs "move"; ScheduleWorld::deliver, announceAgents, passRequest, describeWorker, RequestPipeline::armDeadline.

--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -270,6 +270,43 @@
     BenchTable::addRow({"contract checked", "6,100 workers, 110 contracts", formatNumber(checkTime)});
 }
 
+void announceAgents(RequestPipeline &pipeline, int agents, TimePoint now)
+{
+    for (int agent = 0; agent < agents; ++agent) {
+        Announcement announcement;
+        announcement.agent = "agent" + std::to_string(agent);
+        announcement.incarnation = static_cast<std::uint64_t>(agent) + 1;
+        announcement.service = "s";
+        announcement.failureDomain = "fd" + std::to_string(agent % 18);
+        announcement.region = "r" + std::to_string(agent % 5);
+        announcement.slots = 8;
+        announcement.load.clock = now;
+        pipeline.announce(announcement, now);
+    }
+}
+
+/// Sends one request and answers its attempt at once.
+void passRequest(RequestPipeline &pipeline, TimePoint now)
+{
+    CallerRequest request;
+    request.workspace = "w";
+    request.service = "s";
+    request.body = std::make_shared<const std::string>("b");
+    request.timeout = fromMilliseconds(1000);
+    pipeline.start(std::move(request), now);
+    for (PipelineAction &action : pipeline.takeActions()) {
+        if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action)) {
+            AttemptReply reply;
+            reply.id = attempt->message.id;
+            reply.agentIncarnation = attempt->message.agentIncarnation;
+            reply.status = 200;
+            reply.load.clock = now;
+            pipeline.onReply(reply, now);
+        }
+    }
+    pipeline.takeActions();
+}
+
 void measureRouting()
 {
     std::printf("\n## Entry: one request through the pipeline, decisions only\n\n");
@@ -279,50 +316,19 @@
         TimerService timers;
         Counters counters;
         RequestPipeline pipeline({"fd0", "r0", 1}, CompletionTimePolicy(), timers, counters);
-        TimePoint now(fromMilliseconds(1000));
+        const TimePoint now(fromMilliseconds(1000));
         pipeline.configure({{"w", 1e9, 1000000, 1}}, {}, now);
-        const auto announceAll = [&] {
-            for (int agent = 0; agent < agents; ++agent) {
-                Announcement announcement;
-                announcement.agent = "agent" + std::to_string(agent);
-                announcement.incarnation = static_cast<std::uint64_t>(agent) + 1;
-                announcement.service = "s";
-                announcement.failureDomain = "fd" + std::to_string(agent % 18);
-                announcement.region = "r" + std::to_string(agent % 5);
-                announcement.slots = 8;
-                announcement.load.clock = now;
-                pipeline.announce(announcement, now);
-            }
-        };
-        announceAll();
-        const double announceTime = 1000 * millisecondsOf([&] {
-                                        announceAll();
-                                    })
-            / agents;
+        announceAgents(pipeline, agents, now);
+        const double announcing = millisecondsOf([&] {
+            announceAgents(pipeline, agents, now);
+        });
         constexpr int requests = 5000;
-        const double requestTime = 1000 * millisecondsOf([&] {
-                                       for (int number = 0; number < requests; ++number) {
-                                           CallerRequest request;
-                                           request.workspace = "w";
-                                           request.service = "s";
-                                           request.body = std::make_shared<const std::string>("b");
-                                           request.timeout = fromMilliseconds(1000);
-                                           pipeline.start(std::move(request), now);
-                                           for (PipelineAction &action : pipeline.takeActions()) {
-                                               if (const SendAttempt *attempt = std::get_if<SendAttempt>(&action)) {
-                                                   AttemptReply reply;
-                                                   reply.id = attempt->message.id;
-                                                   reply.agentIncarnation = attempt->message.agentIncarnation;
-                                                   reply.status = 200;
-                                                   reply.load.clock = now;
-                                                   pipeline.onReply(reply, now);
-                                               }
-                                           }
-                                           pipeline.takeActions();
-                                       }
-                                   })
-            / requests;
-        BenchTable::addRow({std::to_string(agents), formatNumber(requestTime, 2), formatNumber(announceTime, 2),
+        const double passing = millisecondsOf([&] {
+            for (int number = 0; number < requests; ++number) {
+                passRequest(pipeline, now);
+            }
+        });
+        BenchTable::addRow({std::to_string(agents), formatNumber(1000 * passing / requests, 2), formatNumber(1000 * announcing / agents, 2),
                             formatNumber(residentMegabytes() - memoryBefore, 2)});
     }
 }
--- a/src/dispatch/PipelineAttempts.cpp
+++ b/src/dispatch/PipelineAttempts.cpp
@@ -277,10 +277,7 @@
 {
     pending.excluded.push_back(pending.agentIncarnation);
     pending.phase = Phase::Queued;
-    m_timers.cancel(pending.timer);
-    pending.timer = m_timers.subscribe(pending.deadline, [this, handle](TimePoint fired) {
-        onDeadline(handle, fired);
-    });
+    armDeadline(handle, pending);
     ServiceQueue &line = queueOf(pending.request.service);
     line.queue.pushFront(queueNameOf(pending), handle);
     pump(line, now);
--- a/src/dispatch/RequestPipeline.cpp
+++ b/src/dispatch/RequestPipeline.cpp
@@ -106,9 +106,7 @@
     Pending &pending = *find(handle);
     pending.request = std::move(request);
     pending.deadline = now + pending.request.timeout;
-    pending.timer = m_timers.subscribe(pending.deadline, [this, handle](TimePoint fired) {
-        onDeadline(handle, fired);
-    });
+    armDeadline(handle, pending);
     const bool needsClaim = !pending.request.idempotent && !pending.request.idempotencyKey.empty();
     if (needsClaim && isEnabled(Guard::IdempotencyClaim)) {
         pending.phase = Phase::Claiming;
@@ -119,6 +117,14 @@
     return handle;
 }
 
+void RequestPipeline::armDeadline(RequestHandle handle, Pending &pending)
+{
+    m_timers.cancel(pending.timer);
+    pending.timer = m_timers.subscribe(pending.deadline, [this, handle](TimePoint fired) {
+        onDeadline(handle, fired);
+    });
+}
+
 KeyClaim RequestPipeline::claimOf(RequestHandle handle, const Pending &pending) const
 {
     KeyClaim claim;
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -175,6 +175,7 @@
     RequestHandle allocate();
     RequestHandle handleOf(const Pending &pending) const;
     ResultCode check(const CallerRequest &request, TimePoint now);
+    void armDeadline(RequestHandle handle, Pending &pending);
     void refuse(RequestHandle handle, ResultCode code);
     void finish(RequestHandle handle, Pending &pending, CallerAnswer answer);
     void finishNotRun(RequestHandle handle, Pending &pending, ResultCode code);
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -191,7 +191,7 @@
     struct QueuePass {
         std::vector<PlacementNeed> failed; // what found no place
         std::size_t waits = 0; // jobs for which accelerators are withheld
-        std::size_t moveTries = 0;
+        std::size_t cellTries = 0;
     };
 
     // Cell.cpp: ownership, events and steps
@@ -233,27 +233,29 @@
     JobRecord closedRecord(const Gang &gang) const;
     TableTransaction makeTransaction(const JobRecord &next, const std::string &step) const;
 
-    // CellSchedule.cpp: queue and placement
+    // CellQueue.cpp: order of the queue, waits, other cells
     void schedule(TimePoint now);
     std::vector<const JobRecord *> queuedJobs(TimePoint now);
-    bool tryPlace(const JobRecord &job, QueuePass &pass, TimePoint now);
     void leaveWaiting(const JobRecord &job, QueuePass &pass, TimePoint now);
+    void forgetEnded(TimePoint now);
+    double weightedUse(const std::string &workspace) const;
+    Duration waitOf(const JobRecord &job, TimePoint now) const;
+    bool isAged(const JobRecord &job, TimePoint now) const;
+    bool mayTryOtherCell(const JobRecord &job, TimePoint now) const;
+    void tryOtherCell(const JobRecord &job, TimePoint now);
+
+    // CellPlacement.cpp: places for jobs
+    bool tryPlace(const JobRecord &job, QueuePass &pass, TimePoint now);
     PlacementNeed needOf(const JobRecord &job, TimePoint now) const;
-    bool mayCompact(const JobRecord &job, TimePoint now) const;
     std::optional<PlannedGang> plan(const JobRecord &job, TimePoint now) const;
     std::optional<PlannedGang> planCompaction(const JobRecord &job, const CellSnapshot &cell) const;
+    bool mayCompact(const JobRecord &job, TimePoint now) const;
     bool isMovable(const Gang &gang, const JobRecord &job, TimePoint now) const;
     bool withhold(const JobRecord &job, TimePoint now);
-    void forgetEnded(TimePoint now);
-    Duration waitOf(const JobRecord &job, TimePoint now) const;
     void addGang(const JobRecord &job, PlannedGang planned, TimePoint now);
-    bool mayMove(const JobRecord &job, TimePoint now) const;
-    void tryMove(const JobRecord &job, TimePoint now);
     bool withinLimit(const JobSpec &spec) const;
     bool isOnOwnReservation(const GangPlacement &placement, const std::string &workspace) const;
     bool mayPreempt(const Gang &victim, const JobRecord &job) const;
-    double weightedUse(const std::string &workspace) const;
-    bool isAged(const JobRecord &job, TimePoint now) const;
     void countHeld();
     void hold(const Gang &gang);
 
@@ -278,7 +280,7 @@
     std::vector<AcceleratorMask> m_withheld; // by worker, for jobs that have waited long; made anew in each step
     std::map<std::string, std::uint32_t> m_lastRuns;
     std::map<std::string, TimePoint> m_firstSeen;
-    std::map<std::string, TimePoint> m_moveAgainAt;
+    std::map<std::string, TimePoint> m_cellTryAfter;
     TimerId m_timer;
     TimePoint m_nextStep{};
     TimePoint m_lastSchedule{};
--- /dev/null
+++ b/src/schedule/CellPlacement.cpp
@@ -0,0 +1,191 @@
+#include "schedule/Cell.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::uint32_t leastCompactAccelerators = 8; // smaller jobs find room without moves
+constexpr Duration reclaimSlack = fromMilliseconds(10000); // beyond the checkpoint's grace, for stops and transactions
+
+bool noGang(const Gang &)
+{
+    return false;
+}
+
+} // namespace
+
+void Cell::countHeld()
+{
+    for (WorkerState &worker : m_workers.all()) {
+        worker.held = 0;
+        worker.processorsHeld = 0;
+        worker.memoryHeld = 0;
+    }
+    for (const Gang &gang : m_gangs) {
+        hold(gang);
+    }
+}
+
+void Cell::hold(const Gang &gang)
+{
+    const GangShape &shape = m_context.jobs.find(gang.job)->spec.shape;
+    for (const TaskPlacement &task : gang.placement) {
+        WorkerState &worker = m_workers.all()[task.worker];
+        worker.held |= task.accelerators;
+        worker.processorsHeld += shape.processors;
+        worker.memoryHeld += shape.memoryMegabytes;
+    }
+}
+
+bool Cell::withinLimit(const JobSpec &spec) const
+{
+    const ContractRecord *record = m_context.configuration.findContract(spec.workspace);
+    return record != nullptr
+        && m_context.jobs.runningAccelerators(spec.workspace) + totalAccelerators(spec) <= record->contract.limits.accelerators;
+}
+
+bool Cell::isOnOwnReservation(const GangPlacement &placement, const std::string &workspace) const
+{
+    return std::ranges::all_of(placement, [&](const TaskPlacement &task) {
+        const AcceleratorMask own = m_context.plan.reservedFor(firstWorker() + task.worker, workspace);
+        return (task.accelerators & ~own) == 0;
+    });
+}
+
+bool Cell::mayPreempt(const Gang &victim, const JobRecord &job) const
+{
+    const JobRecord &record = *m_context.jobs.find(victim.job);
+    const bool reclaimable = record.spec.canCheckpoint && record.spec.urgency != Urgency::Urgent;
+    if (!reclaimable || isOnOwnReservation(victim.placement, record.spec.workspace)) {
+        return false;
+    }
+    const bool otherWorkspace = record.spec.workspace != job.spec.workspace;
+    return job.spec.urgency == Urgency::Urgent || (otherWorkspace && weightedUse(record.spec.workspace) > weightedUse(job.spec.workspace));
+}
+
+bool Cell::isMovable(const Gang &gang, const JobRecord &job, TimePoint now) const
+{
+    const JobSpec &spec = m_context.jobs.find(gang.job)->spec;
+    const bool reclaimable = spec.canCheckpoint && spec.urgency != Urgency::Urgent;
+    const bool settled = now - gang.runningSince >= m_times.compactInterval;
+    return reclaimable && settled && 2 * totalAccelerators(spec) <= totalAccelerators(job.spec)
+        && !isOnOwnReservation(gang.placement, spec.workspace);
+}
+
+bool Cell::mayCompact(const JobRecord &job, TimePoint now) const
+{
+    const bool large = totalAccelerators(job.spec) >= leastCompactAccelerators;
+    return m_policy.compact && large && waitOf(job, now) >= m_times.compactAfter;
+}
+
+Cell::PlacementNeed Cell::needOf(const JobRecord &job, TimePoint now) const
+{
+    const JobSpec &spec = job.spec;
+    return {spec.workspace, spec.shape, spec.canCheckpoint, spec.urgency == Urgency::Urgent, mayCompact(job, now), isAged(job, now)};
+}
+
+std::optional<PlannedGang> Cell::planCompaction(const JobRecord &job, const CellSnapshot &cell) const
+{
+    std::optional<PlannedGang> planned = m_planner.plan(PlacementPass::Preempt, job.spec, cell, [&](const Gang &gang) {
+        return isMovable(gang, job, cell.now);
+    });
+    if (!planned || !m_planner.canRehouse(*planned, cell)) {
+        return std::nullopt;
+    }
+    planned->moves = true;
+    return planned;
+}
+
+std::optional<PlannedGang> Cell::plan(const JobRecord &job, TimePoint now) const
+{
+    CellSnapshot cell = snapshot(now);
+    const JobSpec &spec = job.spec;
+    const bool urgent = spec.urgency == Urgency::Urgent && !m_policy.orderByArrival;
+    if (urgent) {
+        cell.withheld = {};
+    }
+    const auto foreign = [&](const Gang &gang) {
+        return m_context.jobs.find(gang.job)->spec.workspace != spec.workspace;
+    };
+    const auto preemptible = [&](const Gang &gang) {
+        return mayPreempt(gang, job);
+    };
+    std::optional<PlannedGang> planned = m_planner.plan(PlacementPass::OwnOrUnreserved, spec, cell, noGang);
+    if (!planned) {
+        planned = m_planner.plan(PlacementPass::ReclaimOwn, spec, cell, foreign);
+    }
+    if (!planned) {
+        planned = m_planner.plan(PlacementPass::Borrow, spec, cell, noGang);
+    }
+    if (!planned && mayCompact(job, now)) {
+        planned = planCompaction(job, cell);
+    }
+    if (!planned && (urgent || isAged(job, now))) {
+        planned = m_planner.plan(PlacementPass::Preempt, spec, cell, preemptible);
+    }
+    return planned;
+}
+
+bool Cell::withhold(const JobRecord &job, TimePoint now)
+{
+    if (waitOf(job, now) < m_times.withholdAfter || !withinLimit(job.spec)) {
+        return false;
+    }
+    // The accelerators where least is missing, so that the wait is short and the others go on elsewhere.
+    const std::optional<PlannedGang> awaited = m_planner.plan(PlacementPass::Await, job.spec, snapshot(now), noGang);
+    if (!awaited) {
+        return false;
+    }
+    for (const TaskPlacement &task : awaited->placement) {
+        m_withheld[task.worker] |= task.accelerators;
+    }
+    return true;
+}
+
+bool Cell::tryPlace(const JobRecord &job, QueuePass &pass, TimePoint now)
+{
+    const PlacementNeed need = needOf(job, now);
+    // Nothing comes free within a pass, so a job that needs the same as one that failed is not worth a try.
+    if (!withinLimit(job.spec) || std::ranges::find(pass.failed, need) != pass.failed.end()) {
+        return false;
+    }
+    std::optional<PlannedGang> planned = plan(job, now);
+    if (!planned) {
+        pass.failed.push_back(need);
+        return false;
+    }
+    addGang(job, std::move(*planned), now);
+    return true;
+}
+
+void Cell::addGang(const JobRecord &job, PlannedGang planned, TimePoint now)
+{
+    for (const std::string &victim : planned.victims) {
+        Gang *gang = findGang(victim);
+        BANYANLOCK_ASSERT(gang != nullptr && gang->phase == GangPhase::Running);
+        m_context.counters.add(planned.moves ? Counter::GangsMoved : Counter::GangsPreempted);
+        requeue(*gang, (planned.moves ? "moved for job " : "stopped for job ") + job.id, m_context.jobs.find(victim)->spec.canCheckpoint,
+                now);
+    }
+    std::uint32_t &lastRun = m_lastRuns[job.id];
+    lastRun = std::max(lastRun, job.run) + 1;
+    Gang gang;
+    gang.job = job.id;
+    gang.run = lastRun;
+    gang.startEpoch = m_epoch;
+    gang.placement = std::move(planned.placement);
+    gang.phase = planned.victims.empty() ? GangPhase::Preparing : GangPhase::Reclaiming;
+    gang.deadline = now + (planned.victims.empty() ? m_times.prepareLimit : m_times.checkpointGrace + reclaimSlack);
+    m_context.counters.add(Counter::GangsPlaced);
+    m_gangIndex.emplace(job.id, m_gangs.size());
+    hold(gang);
+    m_gangs.push_back(std::move(gang));
+}
+
+} // namespace banyanlock
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -102,6 +102,18 @@
     return response;
 }
 
+WorkerInfo describeWorker(const WorkerStandinOptions &options, std::uint16_t index)
+{
+    WorkerInfo info;
+    info.name = options.failureDomain + "-w" + std::to_string(index);
+    info.failureDomain = options.failureDomain;
+    info.rack = options.failureDomain + "-r" + std::to_string(index / options.workersPerRack);
+    info.accelerators = options.accelerators;
+    info.processors = options.processors;
+    info.memoryMegabytes = options.memoryMegabytes;
+    return info;
+}
+
 } // namespace
 
 int runWorkerStandins(const WorkerStandinOptions &options)
@@ -110,13 +122,7 @@
     const CheckpointStore checkpoints(options.objectUrl);
     std::vector<RunningWorker> workers;
     for (std::uint16_t index = 0; index < options.count; ++index) {
-        WorkerInfo info;
-        info.name = options.failureDomain + "-w" + std::to_string(index);
-        info.failureDomain = options.failureDomain;
-        info.rack = options.failureDomain + "-r" + std::to_string(index / options.workersPerRack);
-        info.accelerators = options.accelerators;
-        info.processors = options.processors;
-        info.memoryMegabytes = options.memoryMegabytes;
+        WorkerInfo info = describeWorker(options, index);
         const Endpoint service{options.firstEndpoint.address, static_cast<std::uint16_t>(options.firstEndpoint.port + 2 * index)};
         const Endpoint control{service.address, static_cast<std::uint16_t>(service.port + 1)};
         info.address = service.toString();
--- a/tests/schedule/ScheduleWorld.h
+++ b/tests/schedule/ScheduleWorld.h
@@ -221,6 +221,7 @@
     void withEntry(int index, std::uint64_t incarnation, const std::function<void(EntryProcess &)> &event);
     void withWorker(int index, const std::function<void(WorkerProcess &)> &event);
     void settle(EntryProcess &entry);
+    WorkerReport deliver(WorkerProcess &worker, const WorkerMessage &message);
     void perform(EntryProcess &entry, std::size_t cell, SendWorkerMessage &action);
     void perform(EntryProcess &entry, std::size_t cell, CommitJob &action);
     void perform(EntryProcess &entry, std::size_t cell, RefreshJob &action);
--- a/tests/schedule/ScheduleWorldActions.cpp
+++ b/tests/schedule/ScheduleWorldActions.cpp
@@ -29,6 +29,30 @@
     }
 }
 
+WorkerReport ScheduleWorld::deliver(WorkerProcess &worker, const WorkerMessage &message)
+{
+    const std::uint64_t startsBefore = worker.model->starts();
+    const WorkerReport report = worker.model->onMessage(message, m_network.now() + worker.clockOffset);
+    if (report.accepted && message.epoch < worker.highestEpoch) {
+        violate(worker.model->info().name + " acted on a message of an earlier owner");
+    }
+    worker.highestEpoch = std::max(worker.highestEpoch, report.highestEpoch);
+    for (const TaskReport &task : report.tasks) {
+        if (worker.known.insert(task.task).second) {
+            m_prepared[task.task.job + "/" + std::to_string(task.task.run)].insert(task.task.index);
+        }
+    }
+    if (worker.model->starts() == startsBefore) {
+        return report;
+    }
+    for (const TaskCommand &command : message.commands) {
+        if (command.kind == TaskCommandKind::Commit) {
+            observeStart(command.task, worker.model->info());
+        }
+    }
+    return report;
+}
+
 void ScheduleWorld::perform(EntryProcess &entry, std::size_t cell, SendWorkerMessage &action)
 {
     const auto place = std::ranges::find(m_fleet.workers(), action.worker, &WorkerInfo::name);
@@ -51,29 +75,12 @@
     };
     NetworkFaults link = m_options.network;
     link.duplication = 0; // HTTP over TCP delivers a message once
-    const auto deliver = [this, target, link, comeBack, message = action.message] {
+    const auto arrive = [this, target, link, comeBack, message = action.message] {
         if (m_network.now() < workerAt(target).cutUntil) {
             return;
         }
         withWorker(target, [this, link, comeBack, message](WorkerProcess &worker) {
-            const std::uint64_t startsBefore = worker.model->starts();
-            const WorkerReport report = worker.model->onMessage(message, m_network.now() + worker.clockOffset);
-            if (report.accepted && message.epoch < worker.highestEpoch) {
-                violate(worker.model->info().name + " acted on a message of an earlier owner");
-            }
-            worker.highestEpoch = std::max(worker.highestEpoch, report.highestEpoch);
-            for (const TaskReport &task : report.tasks) {
-                if (worker.known.insert(task.task).second) {
-                    m_prepared[task.task.job + "/" + std::to_string(task.task.run)].insert(task.task.index);
-                }
-            }
-            if (worker.model->starts() != startsBefore) {
-                for (const TaskCommand &command : message.commands) {
-                    if (command.kind == TaskCommandKind::Commit) {
-                        observeStart(command.task, worker.model->info());
-                    }
-                }
-            }
+            const WorkerReport report = deliver(worker, message);
             if (m_network.now() >= worker.cutUntil) {
                 m_network.send(link, [comeBack, report] {
                     comeBack(report);
@@ -81,7 +88,7 @@
             }
         });
     };
-    m_network.send(link, deliver);
+    m_network.send(link, arrive);
     m_network.after(messageTimeout, [comeBack] {
         comeBack(std::nullopt);
     });
