Give a claim back that comes after its request was refused

Before: claimThatComesAfterTheDeadlineIsGivenBack sees no action; after: the release of its own holder. Conclusion: a claim whose answer was given up as lost, and that lands later, still holds its key.

--- a/bench/DispatchBench.cpp
+++ b/bench/DispatchBench.cpp
@@ -127,6 +127,7 @@
         for (const ScenarioRow &scenario : scenarios) {
             // Worlds share nothing, so the policies run side by side.
             std::vector<std::future<Totals>> running;
+            running.reserve(policies.size());
             for (const PolicyRow &policy : policies) {
                 running.push_back(std::async(std::launch::async, runSeeds, policy, scenario, load));
             }
--- a/bench/ScheduleBench.cpp
+++ b/bench/ScheduleBench.cpp
@@ -198,6 +198,7 @@
     for (const double load : {0.7, 0.9, 1.0}) {
         // Worlds share nothing, so the policies run side by side.
         std::vector<std::future<MixTotals>> running;
+        running.reserve(policies.size());
         for (const PolicyRow &row : policies) {
             running.push_back(std::async(std::launch::async, runSeeds, row.policy, size, load));
         }
--- a/src/dispatch/RequestPipeline.cpp
+++ b/src/dispatch/RequestPipeline.cpp
@@ -136,10 +136,14 @@
     return claim;
 }
 
-void RequestPipeline::onClaim(RequestHandle handle, const ClaimResult &result, TimePoint now)
+void RequestPipeline::onClaim(RequestHandle handle, const KeyClaim &claim, const ClaimResult &result, TimePoint now)
 {
     Pending *pending = find(handle);
     if (pending == nullptr || pending->phase != Phase::Claiming) {
+        if (result.state == ClaimState::Acquired) {
+            // The request was refused meanwhile; its repeat must find the key free.
+            m_actions.emplace_back(ReleaseClaim{claim});
+        }
         return;
     }
     switch (result.state) {
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -77,9 +77,10 @@
 
     /// Takes in the result of a `ClaimKey` action.
     /// @param request The request.
+    /// @param claim The claim that was asked for.
     /// @param result What the table service said.
     /// @param now Current time.
-    void onClaim(RequestHandle request, const ClaimResult &result, TimePoint now);
+    void onClaim(RequestHandle request, const KeyClaim &claim, const ClaimResult &result, TimePoint now);
 
     /// Takes in an agent's reply.
     /// @param reply The reply.
--- a/src/entry/RequestService.cpp
+++ b/src/entry/RequestService.cpp
@@ -172,8 +172,8 @@
 
 void RequestService::carryOut(ClaimKey &action)
 {
-    m_claims.claim(action.claim, [this, request = action.request](const ClaimResult &result) {
-        m_pipeline.onClaim(request, result, EventLoop::now());
+    m_claims.claim(action.claim, [this, request = action.request, claim = action.claim](const ClaimResult &result) {
+        m_pipeline.onClaim(request, claim, result, EventLoop::now());
     });
 }
 
--- a/src/http/ConnectionEvents.h
+++ b/src/http/ConnectionEvents.h
@@ -26,10 +26,9 @@
         m_withoutRequest.erase(connection);
     }
 
-    // NOLINTNEXTLINE(readability-identifier-naming): RESTinio calls it by this name
-    /// Takes in a change of a connection's state.
+    /// Takes in a change of a connection's state; RESTinio calls it by this name.
     /// @param notice What changed.
-    void state_changed(const restinio::connection_state::notice_t &notice)
+    void state_changed(const restinio::connection_state::notice_t &notice) // NOLINT(readability-identifier-naming)
     {
         const restinio::connection_state::cause_t cause = notice.cause();
         if (std::holds_alternative<restinio::connection_state::accepted_t>(cause)) {
--- a/tests/dispatch/DispatchWorldMessages.cpp
+++ b/tests/dispatch/DispatchWorldMessages.cpp
@@ -211,7 +211,7 @@
     m_network.after(storeDelay(), [this, action, index = entry.index, incarnation = entry.incarnation] {
         const ClaimResult result = claim(action.claim);
         withEntry(index, incarnation, [this, action, result](EntryProcess &process) {
-            process.pipeline->onClaim(action.request, result, m_network.now());
+            process.pipeline->onClaim(action.request, action.claim, result, m_network.now());
         });
     });
 }
--- a/tests/dispatch/RequestPipelineTest.cpp
+++ b/tests/dispatch/RequestPipelineTest.cpp
@@ -105,6 +105,26 @@
     BOOST_TEST(attempts() == std::vector<std::string>{"a"});
 }
 
+BOOST_AUTO_TEST_CASE(claimThatComesAfterTheDeadlineIsGivenBack)
+{
+    announce("a", 1, start);
+    CallerRequest keyed;
+    keyed.workspace = "w";
+    keyed.service = "s";
+    keyed.idempotencyKey = "k";
+    keyed.timeout = fromMilliseconds(100);
+    const RequestHandle handle = pipeline.start(std::move(keyed), start);
+    std::vector<PipelineAction> actions = pipeline.takeActions();
+    BOOST_REQUIRE(actions.size() == 1U);
+    const KeyClaim claim = std::get<ClaimKey>(actions[0]).claim;
+    timers.advanceTo(start + fromMilliseconds(200));
+    pipeline.takeActions();
+    pipeline.onClaim(handle, claim, {ClaimState::Acquired, {}}, start + fromMilliseconds(300));
+    actions = pipeline.takeActions();
+    BOOST_REQUIRE(actions.size() == 1U);
+    BOOST_TEST(std::get<ReleaseClaim>(actions[0]).claim.holder == claim.holder);
+}
+
 BOOST_AUTO_TEST_CASE(workspaceThatFillsTheQueueDoesNotKeepOthersOut)
 {
     pipeline.configure({{"w", 1e6, 1000, 1}, {"v", 1e6, 1000, 1}}, {}, start);
--- a/tests/schedule/CellPlannerTest.cpp
+++ b/tests/schedule/CellPlannerTest.cpp
@@ -58,7 +58,7 @@
 
     CellSnapshot snapshot() const
     {
-        return {workers, gangs, jobs, plan, 0, start};
+        return {workers, gangs, jobs, plan, 0, start, {}};
     }
 
     std::optional<PlannedGang> tryPass(PlacementPass pass, const JobSpec &spec) const
--- a/tests/schedule/ScheduleWorldActions.cpp
+++ b/tests/schedule/ScheduleWorldActions.cpp
@@ -32,7 +32,7 @@
 WorkerReport ScheduleWorld::deliver(WorkerProcess &worker, const WorkerMessage &message)
 {
     const std::uint64_t startsBefore = worker.model->starts();
-    const WorkerReport report = worker.model->onMessage(message, m_network.now() + worker.clockOffset);
+    WorkerReport report = worker.model->onMessage(message, m_network.now() + worker.clockOffset);
     if (report.accepted && message.epoch < worker.highestEpoch) {
         violate(worker.model->info().name + " acted on a message of an earlier owner");
     }
--- a/tests/schedule/TakeoverTest.cpp
+++ b/tests/schedule/TakeoverTest.cpp
@@ -26,7 +26,7 @@
     spec.shape.tasks = 4;
     spec.shape.accelerators = 8;
     spec.durationHintMilliseconds = 60000;
-    const std::string job = world.submit(spec);
+    std::string job = world.submit(spec);
     world.run(fromMilliseconds(3000));
     return job;
 }
