Read the store before a job is called unknown

Ruled out: a lost write (the row was there). Change: an entry that doesn't know a job reads what changed before it answers; with the store down it answers store_unavailable. The demo waits until all entries serve the contract, as the tests do, and shares its counts of tasks with them. Before and after, operators_test with ten submissions through one entry shown through another: failed in the first round; now ten of ten.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -173,13 +173,24 @@
          END {exit bad}' "$runs_file" "$@"
 }
 
-# running_tasks DOMAIN: tasks that the workers of failure domain a, b or c run
-running_tasks() {
+# worker_reports DOMAIN: what the workers of failure domain a, b or c say of their tasks
+worker_reports() {
     local index worker
     case $1 in a) index=0 ;; b) index=1 ;; c) index=2 ;; esac
     for worker in 0 1 2; do
-        curl -fsS "http://127.0.0.1:$((port_base + 301 + 20 * index + 2 * worker))/tasks" | { grep -o '"[^"]*/[0-9]*/[0-9]*"' || true; }
-    done | wc -l
+        curl -fsS "http://127.0.0.1:$((port_base + 301 + 20 * index + 2 * worker))/tasks"
+        echo
+    done
+}
+
+# running_tasks DOMAIN: tasks that its workers run
+running_tasks() {
+    worker_reports "$1" | { grep -o '"[^"]*/[0-9]*/[0-9]*"' || true; } | wc -l
+}
+
+# starts DOMAIN: tasks that its workers have ever started
+starts() {
+    worker_reports "$1" | grep -o '"starts":[0-9]*' | awk -F: '{total += $2} END {print total}'
 }
 
 # field FILE NAME: a number of a load's figures
@@ -200,6 +211,15 @@
     fi
 }
 
+# wait_until_served: waits until the contract of quotes is in force at all entries and they know an agent
+wait_until_served() {
+    local index
+    echo -n ready >"$run/ready.txt"
+    for index in 0 1 2; do
+        wait_for 10 "$banyanlock" request quote "$run/ready.txt" --workspace quotes --idempotent --entries "${entry_http[$index]}"
+    done
+}
+
 # start_system AGENTS [SERVICE_TIME_US]: everything, with the sample contracts
 start_system() {
     start_platform
@@ -211,8 +231,5 @@
     wait_for 15 cells_are_owned
     "$banyanlock" contract put "$root/samples/contract-quotes.json" >/dev/null
     "$banyanlock" contract put "$root/samples/contract-audits.json" >/dev/null
-    echo -n ready >"$run/ready.txt"
-    for index in 0 1 2; do
-        wait_for 10 "$banyanlock" request quote "$run/ready.txt" --workspace quotes --idempotent --entries "${entry_http[$index]}"
-    done
+    wait_until_served
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -31,26 +31,6 @@
     "$banyanlock" job show "$1" --json | grep -o '"cell":"[^"]*"' | cut -d'"' -f4
 }
 
-# running_tasks DOMAIN_INDEX: tasks that the workers of a failure domain say they run
-running_tasks() {
-    local worker total=0 count
-    for worker in 0 1 2; do
-        count=$(curl -fsS "http://127.0.0.1:$((port_base + 301 + 20 * $1 + 2 * worker))/tasks" | grep -o '"[^"]*/[0-9]*/[0-9]*"' | wc -l)
-        total=$((total + count))
-    done
-    echo "$total"
-}
-
-# starts DOMAIN_INDEX: tasks that the workers of a failure domain have ever started
-starts() {
-    local worker total=0 count
-    for worker in 0 1 2; do
-        count=$(curl -fsS "http://127.0.0.1:$((port_base + 301 + 20 * $1 + 2 * worker))/tasks" | grep -o '"starts":[0-9]*' | cut -d: -f2)
-        total=$((total + count))
-    done
-    echo "$total"
-}
-
 say "starting the platform's stand-ins, three entries in three failure domains, and three agents"
 start_platform
 start_entries
@@ -62,11 +42,11 @@
 say "putting contracts for two workspaces"
 "$banyanlock" contract put samples/contract-quotes.json || fail "contract of quotes"
 "$banyanlock" contract put samples/contract-audits.json || fail "contract of audits"
+wait_until_served || fail "the contracts are not in force at every entry"
 "$banyanlock" contract list
 
 say "sending an idempotent request"
 echo -n "fabric match 17" >"$run/match.txt"
-wait_for 5 "$banyanlock" request quote "$run/match.txt" --workspace quotes --idempotent
 answer=$("$banyanlock" request quote "$run/match.txt" --workspace quotes --idempotent)
 echo "$answer"
 [ "$answer" = "answer to fabric match 17" ] || fail "the answer is not whole"
@@ -95,27 +75,27 @@
 cell=$(job_cell "$job")
 "$banyanlock" job show "$job"
 "$banyanlock" failure-domain out "$cell"
-case $cell in fd-a) out_index=0 ;; fd-b) out_index=1 ;; *) out_index=2 ;; esac
+domain=${cell#fd-}
 moved() {
     [ "$(job_cell "$job")" != "$cell" ] && job_is "$job" running
 }
 wait_for 10 moved || fail "the gang did not move"
 "$banyanlock" job show "$job"
-[ "$(running_tasks "$out_index")" = 0 ] || fail "tasks still run in $cell"
+[ "$(running_tasks "$domain")" = 0 ] || fail "tasks still run in $cell"
 
 say "starting more work: none of it may start in $cell"
-before=$(starts "$out_index")
+before=$(starts "$domain")
 for _ in 1 2 3 4; do
     "$banyanlock" job submit samples/job-gang.json --wait >/dev/null || fail "work stopped elsewhere"
 done
-[ "$(starts "$out_index")" = "$before" ] || fail "a task started in $cell"
+[ "$(starts "$domain")" = "$before" ] || fail "a task started in $cell"
 "$banyanlock" failure-domain list
 
 say "bringing $cell back: work starts there again"
 "$banyanlock" failure-domain in "$cell"
 started_again() {
     "$banyanlock" job submit samples/job-gang.json --wait >/dev/null
-    [ "$(starts "$out_index")" -gt "$before" ]
+    [ "$(starts "$domain")" -gt "$before" ]
 }
 wait_for 15 started_again || fail "nothing starts in $cell"
 "$banyanlock" job cancel "$job" >/dev/null
@@ -125,7 +105,7 @@
 for index in 0 1 2; do
     stop "agent-$index" || fail "agent-$index did not end well"
 done
-for domain in a b c; do
-    stop "entry-$domain" || fail "entry-$domain did not end well"
+for name in "${domains[@]}"; do
+    stop "entry-$name" || fail "entry-$name did not end well"
 done
 echo "demo done"
--- a/src/entry/JobService.cpp
+++ b/src/entry/JobService.cpp
@@ -129,19 +129,37 @@
     respond(jsonResponse(text + "]}"));
 }
 
-void JobService::show(const std::string &id, const HttpServer::Responder &respond) const
+void JobService::withRecord(const std::string &id, const HttpServer::Responder &respond, std::function<void(const JobRecord &)> use)
 {
-    const JobRecord *record = m_mirror.jobs().find(id);
-    if (record == nullptr) {
-        respond(problemResponse({ResultCode::UnknownJob, "job " + id}));
+    if (const JobRecord *record = m_mirror.jobs().find(id)) {
+        use(*record);
         return;
     }
-    respondWithJob(*record, statusOk, respond);
+    // Another entry may have recorded the job since the last read.
+    m_mirror.refresh([this, id, respond, use = std::move(use)](bool available) {
+        const JobRecord *record = m_mirror.jobs().find(id);
+        if (record != nullptr) {
+            use(*record);
+        } else if (available) {
+            respond(problemResponse({ResultCode::UnknownJob, "job " + id}));
+        } else {
+            respond(problemResponse({ResultCode::StoreUnavailable, "job " + id + " is not known here"}));
+        }
+    });
+}
+
+void JobService::show(const std::string &id, const HttpServer::Responder &respond)
+{
+    withRecord(id, respond, [respond](const JobRecord &record) {
+        respondWithJob(record, statusOk, respond);
+    });
 }
 
-void JobService::cancel(const std::string &id, HttpServer::Responder respond)
+void JobService::cancel(const std::string &id, const HttpServer::Responder &respond)
 {
-    tryCancel(id, 0, std::move(respond));
+    withRecord(id, respond, [this, id, respond](const JobRecord &) {
+        tryCancel(id, 0, respond);
+    });
 }
 
 void JobService::tryCancel(const std::string &id, int tries, HttpServer::Responder respond)
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -5,6 +5,7 @@
 #include "platform/TableClient.h"
 
 #include <cstdint>
+#include <functional>
 #include <string>
 
 namespace banyanlock
@@ -33,17 +34,18 @@
     /// Handles `GET /v1/jobs/{id}`.
     /// @param id Id of the job.
     /// @param respond Answers it.
-    void show(const std::string &id, const HttpServer::Responder &respond) const;
+    void show(const std::string &id, const HttpServer::Responder &respond);
 
     /// Handles `DELETE /v1/jobs/{id}`: a queued job never starts, a running one is stopped.
     /// @param id Id of the job.
     /// @param respond Answers it.
-    void cancel(const std::string &id, HttpServer::Responder respond);
+    void cancel(const std::string &id, const HttpServer::Responder &respond);
 
 private:
     Result<JobRecord> makeRecord(const std::string &body);
     void settleSubmission(const JobRecord &record, const HttpServer::Responder &respond);
     void tryCancel(const std::string &id, int tries, HttpServer::Responder respond);
+    void withRecord(const std::string &id, const HttpServer::Responder &respond, std::function<void(const JobRecord &)> use);
     static void respondWithJob(const JobRecord &record, int status, const HttpServer::Responder &respond);
 
     StoreMirror &m_mirror;
--- a/tests/process/operators_test.sh
+++ b/tests/process/operators_test.sh
@@ -8,6 +8,13 @@
 start_system 1
 rounds=10
 
+for ((round = 1; round <= rounds; ++round)); do
+    job=$("$banyanlock" job submit "$root/samples/job-gang.json" --entries "${entry_http[0]}")
+    check "round $round: a job is known through another entry at once" "$banyanlock" job show "$job" --entries "${entry_http[1]}"
+    "$banyanlock" job cancel "$job" --entries "${entry_http[2]}" >/dev/null 2>&1 || true
+done >"$run/jobs.out"
+check "jobs are known through all entries" test "$(grep -c '^ok' "$run/jobs.out")" = "$rounds"
+
 contract_of() {
     curl -fsS -D "$run/headers" "http://${entry_http[$1]}/v1/workspaces/quotes/contract"
 }
