--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -311,6 +311,8 @@
 {
     std::printf("\n## Entry: one request through the pipeline, decisions only\n\n");
     const BenchTable table({"agents known", "processor us a request", "processor us an announcement", "memory MB"});
+    std::vector<double> sizes;
+    std::vector<double> times;
     for (const int agents : {10, 100, 1000}) {
         const double memoryBefore = residentMegabytes();
         TimerService timers;
@@ -330,7 +332,11 @@
         });
         BenchTable::addRow({std::to_string(agents), formatNumber(1000 * passing / requests, 2), formatNumber(1000 * announcing / agents, 2),
                             formatNumber(residentMegabytes() - memoryBefore, 2)});
+        sizes.push_back(agents);
+        times.push_back(1000 * passing / requests);
     }
+    const Line line = Line::fit(sizes, times);
+    std::printf("\nFit: %.2f us a request + %.4f us for each agent.\n", line.intercept, line.slope);
 }
 
 void measureRows()
