Say once who serves, what is reclaimable and who waits

The service times decided for themselves which members serve, beside `serves`; two rules held the same test of what may be reclaimed; CellHost::owns looked for a cell as `find` does; both worlds kept events of frozen processes in the same lines; three tests made the same contract; the bench computed a wait in three places. And an estimate that an empty queue doesn't need went over all members for each request. Change: one of each (contextOf with `serves`, isReclaimable, find, keepIfFrozen, putLimit, waitOf); the estimate comes after the look at the queue. Left as it is: job builders of benches and tests, which share a form and not a meaning.

--- a/bench/ScheduleBench.cpp
+++ b/bench/ScheduleBench.cpp
@@ -106,6 +106,12 @@
     world.run(fromMilliseconds(2000));
 }
 
+/// Seconds that a job has waited for its first start.
+double waitOf(const TrackedJob &job, const ScheduleWorld &world)
+{
+    return static_cast<double>((job.startedAt.value_or(world.now()) - job.submittedAt).count()) / 1e6;
+}
+
 /// What the runs of one policy gave, over all seeds.
 struct MixTotals {
     double samples = 0;
@@ -132,9 +138,7 @@
     void finish(const ScheduleWorld &world, const FleetSize &size)
     {
         for (const auto &[id, job] : world.jobs()) {
-            const TimePoint started = job.startedAt.value_or(world.now());
-            const double seconds = static_cast<double>((started - job.submittedAt).count()) / 1e6;
-            (job.spec.shape.tasks == size.largeTasks ? largeWaits : smallWaits).push_back(seconds);
+            (job.spec.shape.tasks == size.largeTasks ? largeWaits : smallWaits).push_back(waitOf(job, world));
         }
         workDone += world.workDone() / (size.total() * static_cast<double>(runLength.count()));
         preempted += world.counters().value(Counter::GangsPreempted);
@@ -246,11 +250,9 @@
     world.run(fromMilliseconds(60000));
     double last = 0;
     for (const std::string &id : ids) {
-        const TrackedJob &job = world.jobs().at(id);
-        last = std::max(last, static_cast<double>((job.startedAt.value_or(world.now()) - job.submittedAt).count()) / 1e6);
+        last = std::max(last, waitOf(world.jobs().at(id), world));
     }
-    const TrackedJob &job = world.jobs().at(urgentId);
-    const double urgentWait = static_cast<double>((job.startedAt.value_or(world.now()) - job.submittedAt).count()) / 1e6;
+    const double urgentWait = waitOf(world.jobs().at(urgentId), world);
     std::printf("\nFleet filled to %.0f of %.0f accelerators by borrowed work; full guarantee of three racks running after %.2f s; urgent "
                 "job after "
                 "%.2f s (bound 2.8 s).\n",
--- a/src/dispatch/PipelineQueue.cpp
+++ b/src/dispatch/PipelineQueue.cpp
@@ -21,12 +21,17 @@
     return m_limits.orderByArrival ? std::string_view() : std::string_view(pending.request.workspace);
 }
 
-RequestPipeline::ServiceTimes RequestPipeline::serviceTimes(std::string_view service, TimePoint now) const
+RoutingContext RequestPipeline::contextOf(const Pending &pending, TimePoint now) const
+{
+    return {m_members,       now,          pending.deadline, pending.request.service, m_limits.failureDomain,
+            m_limits.region, m_outDomains, pending.excluded};
+}
+
+RequestPipeline::ServiceTimes RequestPipeline::serviceTimes(const RoutingContext &context)
 {
     ServiceTimes times;
-    for (const Member &member : m_members.members()) {
-        const bool out = std::ranges::find(m_outDomains, member.announced.failureDomain) != m_outDomains.end();
-        if (member.announced.service == service && !out && m_members.isEligible(member, now)) {
+    for (const Member &member : context.table.members()) {
+        if (serves(member, context)) {
             times.averageMicroseconds += member.serviceMicroseconds * member.announced.slots;
             times.longMicroseconds += member.longServiceMicroseconds() * member.announced.slots;
             times.slots += member.announced.slots;
@@ -41,8 +46,11 @@
 
 bool RequestPipeline::canMeetDeadline(const Pending &pending, ServiceQueue &line, TimePoint now) const
 {
-    const ServiceTimes times = serviceTimes(line.service, now);
-    if (times.slots == 0 || line.queue.size() == 0) {
+    if (line.queue.size() == 0) {
+        return true;
+    }
+    const ServiceTimes times = serviceTimes(contextOf(pending, now));
+    if (times.slots == 0) {
         return true;
     }
     // Turns are shared between the workspaces that wait, so the own line counts once for each of them.
@@ -98,15 +106,14 @@
 {
     const RequestHandle handle = *line.queue.front();
     Pending &pending = *find(handle);
-    const ServiceTimes times = serviceTimes(line.service, now);
+    const RoutingContext context = contextOf(pending, now);
+    const ServiceTimes times = serviceTimes(context);
     const auto remaining = static_cast<double>((pending.deadline - now).count());
     if (remaining < times.longMicroseconds) {
         line.queue.popFront(m_admission.shareOf(pending.request.workspace));
         refuse(handle, ResultCode::DeadlineUnreachable);
         return true;
     }
-    const RoutingContext context{m_members,       now,          pending.deadline, pending.request.service, m_limits.failureDomain,
-                                 m_limits.region, m_outDomains, pending.excluded};
     const std::optional<std::size_t> chosen = std::visit(
         [&](auto &policy) {
             return policy.choose(context);
--- a/src/dispatch/RequestPipeline.h
+++ b/src/dispatch/RequestPipeline.h
@@ -189,7 +189,8 @@
     void enqueue(RequestHandle handle, TimePoint now);
     bool makeRoom(ServiceQueue &line, const Pending &pending);
     bool canMeetDeadline(const Pending &pending, ServiceQueue &line, TimePoint now) const;
-    ServiceTimes serviceTimes(std::string_view service, TimePoint now) const;
+    RoutingContext contextOf(const Pending &pending, TimePoint now) const;
+    static ServiceTimes serviceTimes(const RoutingContext &context);
     void pump(ServiceQueue &line, TimePoint now);
     void pumpAll(TimePoint now);
     bool sendNext(ServiceQueue &line, TimePoint now);
--- a/src/entry/CellHost.cpp
+++ b/src/entry/CellHost.cpp
@@ -50,7 +50,7 @@
     });
 }
 
-Cell *CellHost::find(const std::string &failureDomain)
+Cell *CellHost::find(const std::string &failureDomain) const
 {
     const auto place = std::ranges::find(m_cellNames, failureDomain);
     return place == m_cellNames.end() ? nullptr : m_cells[static_cast<std::size_t>(place - m_cellNames.begin())].get();
@@ -209,9 +209,8 @@
 
 bool CellHost::owns(const std::string &failureDomain) const
 {
-    return std::ranges::any_of(m_cells, [&](const std::unique_ptr<Cell> &cell) {
-        return cell->isOwned() && cell->failureDomain() == failureDomain;
-    });
+    const Cell *cell = find(failureDomain);
+    return cell != nullptr && cell->isOwned();
 }
 
 bool CellHost::storeAnswers(TimePoint now) const
--- a/src/entry/CellHost.h
+++ b/src/entry/CellHost.h
@@ -75,7 +75,7 @@
     bool storeAnswers(TimePoint now) const;
     void writeRow(const std::string &failureDomain, const CellRow &row, const std::string &owner, std::function<void()> done);
     void updateRenewals(TimePoint now);
-    Cell *find(const std::string &failureDomain);
+    Cell *find(const std::string &failureDomain) const;
     Cell &findOrMake(const std::string &failureDomain);
     void carryOut(Cell &cell, SendWorkerMessage &action);
     void carryOut(Cell &cell, CommitJob &action);
--- a/src/schedule/Cell.h
+++ b/src/schedule/Cell.h
@@ -255,6 +255,7 @@
     void addGang(const JobRecord &job, PlannedGang planned, TimePoint now);
     bool withinLimit(const JobSpec &spec) const;
     bool isOnOwnReservation(const GangPlacement &placement, const std::string &workspace) const;
+    bool isReclaimable(const Gang &gang) const;
     bool mayPreempt(const Gang &victim, const JobRecord &job) const;
     void countHeld();
     void hold(const Gang &gang);
--- a/src/schedule/CellPlacement.cpp
+++ b/src/schedule/CellPlacement.cpp
@@ -58,24 +58,27 @@
     });
 }
 
+bool Cell::isReclaimable(const Gang &gang) const
+{
+    const JobSpec &spec = m_context.jobs.find(gang.job)->spec;
+    return spec.canCheckpoint && spec.urgency != Urgency::Urgent && !isOnOwnReservation(gang.placement, spec.workspace);
+}
+
 bool Cell::mayPreempt(const Gang &victim, const JobRecord &job) const
 {
-    const JobRecord &record = *m_context.jobs.find(victim.job);
-    const bool reclaimable = record.spec.canCheckpoint && record.spec.urgency != Urgency::Urgent;
-    if (!reclaimable || isOnOwnReservation(victim.placement, record.spec.workspace)) {
+    if (!isReclaimable(victim)) {
         return false;
     }
-    const bool otherWorkspace = record.spec.workspace != job.spec.workspace;
-    return job.spec.urgency == Urgency::Urgent || (otherWorkspace && weightedUse(record.spec.workspace) > weightedUse(job.spec.workspace));
+    const std::string &workspace = m_context.jobs.find(victim.job)->spec.workspace;
+    const bool otherWorkspace = workspace != job.spec.workspace;
+    return job.spec.urgency == Urgency::Urgent || (otherWorkspace && weightedUse(workspace) > weightedUse(job.spec.workspace));
 }
 
 bool Cell::isMovable(const Gang &gang, const JobRecord &job, TimePoint now) const
 {
     const JobSpec &spec = m_context.jobs.find(gang.job)->spec;
-    const bool reclaimable = spec.canCheckpoint && spec.urgency != Urgency::Urgent;
     const bool settled = now - gang.runningSince >= m_times.compactInterval;
-    return reclaimable && settled && 2 * totalAccelerators(spec) <= totalAccelerators(job.spec)
-        && !isOnOwnReservation(gang.placement, spec.workspace);
+    return settled && 2 * totalAccelerators(spec) <= totalAccelerators(job.spec) && isReclaimable(gang);
 }
 
 bool Cell::mayCompact(const JobRecord &job, TimePoint now) const
--- a/tests/dispatch/DispatchWorld.cpp
+++ b/tests/dispatch/DispatchWorld.cpp
@@ -99,10 +99,10 @@
     if (entry.incarnation != incarnation) {
         return;
     }
-    if (entry.isFrozen(m_network.now())) {
-        entry.keep([this, index, incarnation, event] {
-            withEntry(index, incarnation, event);
-        });
+    const bool kept = entry.keepIfFrozen(m_network.now(), [this, index, incarnation, event] {
+        withEntry(index, incarnation, event);
+    });
+    if (kept) {
         return;
     }
     // As in the daemons, deadlines that passed go before messages that waited.
@@ -118,10 +118,10 @@
     if (agent.incarnation != incarnation || agent.dead) {
         return;
     }
-    if (agent.isFrozen(m_network.now())) {
-        agent.keep([this, index, incarnation, event] {
-            withAgent(index, incarnation, event);
-        });
+    const bool kept = agent.keepIfFrozen(m_network.now(), [this, index, incarnation, event] {
+        withAgent(index, incarnation, event);
+    });
+    if (kept) {
         return;
     }
     event(agent);
--- a/tests/schedule/LargeGangTest.cpp
+++ b/tests/schedule/LargeGangTest.cpp
@@ -20,12 +20,8 @@
 
 void start(ScheduleWorld &world)
 {
-    for (const char *workspace : {"quotes", "tracing"}) {
-        Contract contract;
-        contract.workspace = workspace;
-        contract.limits.accelerators = 32;
-        world.putContract(contract);
-    }
+    world.putLimit("quotes", 32);
+    world.putLimit("tracing", 32);
     world.takeCell(0, 0);
     world.run(fromMilliseconds(2000));
 }
--- a/tests/schedule/ScheduleFaultMatrixTest.cpp
+++ b/tests/schedule/ScheduleFaultMatrixTest.cpp
@@ -117,10 +117,7 @@
     options.racksPerDomain = 1;
     options.workersPerRack = 3;
     ScheduleWorld world(11, options);
-    Contract contract;
-    contract.workspace = "audits";
-    contract.limits.accelerators = 24;
-    world.putContract(contract);
+    world.putLimit("audits", 24);
     world.takeCell(0, 0);
     world.run(fromMilliseconds(2000));
     JobSpec spec;
--- a/tests/schedule/ScheduleWorld.cpp
+++ b/tests/schedule/ScheduleWorld.cpp
@@ -137,10 +137,10 @@
     if (entry.incarnation != incarnation) {
         return;
     }
-    if (entry.isFrozen(m_network.now())) {
-        entry.keep([this, index, incarnation, event] {
-            withEntry(index, incarnation, event);
-        });
+    const bool kept = entry.keepIfFrozen(m_network.now(), [this, index, incarnation, event] {
+        withEntry(index, incarnation, event);
+    });
+    if (kept) {
         return;
     }
     entry.timers.advanceTo(m_network.now());
@@ -152,10 +152,10 @@
 void ScheduleWorld::withWorker(int index, const std::function<void(WorkerProcess &)> &event)
 {
     WorkerProcess &worker = workerAt(index);
-    if (worker.isFrozen(m_network.now())) {
-        worker.keep([this, index, event] {
-            withWorker(index, event);
-        });
+    const bool kept = worker.keepIfFrozen(m_network.now(), [this, index, event] {
+        withWorker(index, event);
+    });
+    if (kept) {
         return;
     }
     event(worker);
@@ -255,6 +255,14 @@
     writeConfiguration(ConfigurationRows::contractKey(contract.workspace), encodeContract(contract));
 }
 
+void ScheduleWorld::putLimit(const std::string &workspace, std::uint32_t accelerators)
+{
+    Contract contract;
+    contract.workspace = workspace;
+    contract.limits.accelerators = accelerators;
+    putContract(contract);
+}
+
 void ScheduleWorld::setOut(int domain, bool out)
 {
     writeConfiguration(ConfigurationRows::failureDomainKey(domainName(domain)), out ? "out" : "in");
--- a/tests/schedule/ScheduleWorld.h
+++ b/tests/schedule/ScheduleWorld.h
@@ -83,6 +83,11 @@
     /// @param contract The contract.
     void putContract(const Contract &contract);
 
+    /// Puts a contract without guarantees.
+    /// @param workspace Workspace.
+    /// @param accelerators Its limit.
+    void putLimit(const std::string &workspace, std::uint32_t accelerators);
+
     /// Lets an entry take a cell, whoever owns it.
     /// @param entry Index of the entry.
     /// @param domain Index of the failure domain.
--- a/tests/schedule/TakeoverTest.cpp
+++ b/tests/schedule/TakeoverTest.cpp
@@ -14,10 +14,7 @@
 /// A gang of four workers that runs under the first entry.
 std::string startGang(ScheduleWorld &world)
 {
-    Contract contract;
-    contract.workspace = "audits";
-    contract.limits.accelerators = 32;
-    world.putContract(contract);
+    world.putLimit("audits", 32);
     world.takeCell(0, 0);
     world.run(fromMilliseconds(2000));
     JobSpec spec;
--- a/tests/support/Freezable.h
+++ b/tests/support/Freezable.h
@@ -28,11 +28,17 @@
         return now < m_frozenUntil;
     }
 
-    /// Keeps an event until the process goes on.
+    /// Keeps an event if the process is stopped.
+    /// @param now Current time.
     /// @param event The event.
-    void keep(std::function<void()> event)
+    /// @return Whether it was kept.
+    template <typename Event> bool keepIfFrozen(TimePoint now, const Event &event)
     {
-        m_waiting.push_back(std::move(event));
+        if (isFrozen(now)) {
+            m_waiting.push_back(event);
+            return true;
+        }
+        return false;
     }
 
     /// Runs the events that waited.
