--- a/src/agent/AgentDaemon.h
+++ b/src/agent/AgentDaemon.h
@@ -3,8 +3,8 @@
 #include "agent/AgentSettings.h"
 #include "core/Counters.h"
 #include "dispatch/AgentGate.h"
-#include "platform/EventLoop.h"
-#include "platform/HttpClient.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
 #include "rpc/RpcNode.h"
 
 #include <cstdint>
--- a/src/core/TableTypes.h
+++ b/src/core/TableTypes.h
@@ -14,6 +14,7 @@
     std::string key; ///< Key of the row.
     std::uint64_t version = 0; ///< Commit that last wrote it.
     std::string value; ///< Its text.
+    bool erased = false; ///< The row was erased at that version; only where changes are followed.
 };
 
 /// Condition of a transaction.
@@ -49,6 +50,7 @@
 struct CommitResult {
     CommitState state = CommitState::Unknown; ///< How it ended.
     std::uint64_t version = 0; ///< Version of the written rows, when committed.
+    std::vector<TableRow> rows; ///< Present rows of the conditions, on a conflict, where the service tells them.
 };
 
 /// Result of a read of one row.
--- a/src/core/Time.h
+++ b/src/core/Time.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <ctime>
 
 namespace banyanlock
 {
@@ -25,11 +26,13 @@
     /// The clock never goes backwards.
     static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard names it
 
-    /// Reads the system's monotonic clock, which goes on while the process is stopped.
+    /// Reads the system's boot clock, which goes on while the process is stopped and while the instance is suspended.
     /// @return The current point in time.
     static time_point now()
     {
-        return time_point(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+        timespec time{};
+        clock_gettime(CLOCK_BOOTTIME, &time);
+        return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
     }
 };
 
--- a/src/entry/CellHost.h
+++ b/src/entry/CellHost.h
@@ -2,7 +2,7 @@
 
 #include "entry/PeerTable.h"
 #include "entry/StoreMirror.h"
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 #include "schedule/Cell.h"
 
 #include <cstdint>
--- a/src/entry/ClaimStore.h
+++ b/src/entry/ClaimStore.h
@@ -2,7 +2,7 @@
 
 #include "core/Counters.h"
 #include "dispatch/KeyClaim.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/entry/ConfigurationWriter.h
+++ b/src/entry/ConfigurationWriter.h
@@ -2,7 +2,7 @@
 
 #include "core/Result.h"
 #include "entry/StoreMirror.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -12,9 +12,9 @@
 #include "entry/RequestService.h"
 #include "entry/StoreMirror.h"
 #include "http/HttpServer.h"
-#include "platform/EventLoop.h"
-#include "platform/HttpClient.h"
-#include "platform/TableClient.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
+#include "store/TableClient.h"
 #include "rpc/RpcNode.h"
 
 namespace banyanlock
--- a/src/entry/JobRetention.h
+++ b/src/entry/JobRetention.h
@@ -3,7 +3,7 @@
 #include "core/Counters.h"
 #include "entry/CellHost.h"
 #include "entry/StoreMirror.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 #include "schedule/EndedJobs.h"
 
 #include <string>
--- a/src/entry/JobService.h
+++ b/src/entry/JobService.h
@@ -2,7 +2,7 @@
 
 #include "entry/StoreMirror.h"
 #include "http/HttpServer.h"
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/entry/RequestService.h
+++ b/src/entry/RequestService.h
@@ -5,7 +5,7 @@
 #include "entry/ClaimStore.h"
 #include "entry/EntrySettings.h"
 #include "http/HttpServer.h"
-#include "platform/EventLoop.h"
+#include "runtime/EventLoop.h"
 #include "rpc/RpcNode.h"
 
 #include <cstdint>
--- a/src/entry/StoreMirror.h
+++ b/src/entry/StoreMirror.h
@@ -4,8 +4,8 @@
 #include "core/Counters.h"
 #include "placement/Fleet.h"
 #include "placement/ReservationPlan.h"
-#include "platform/EventLoop.h"
-#include "platform/TableClient.h"
+#include "runtime/EventLoop.h"
+#include "store/TableClient.h"
 #include "schedule/JobTable.h"
 
 #include <cstdint>
--- /dev/null
+++ b/src/graph/GraphCodec.cpp
@@ -0,0 +1,212 @@
+#include "graph/GraphCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <nlohmann/json.hpp>
+
+namespace banyanlock
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+// Larger jobs would not fit into one row of the table service.
+constexpr std::uint32_t mostTasks = 2000;
+constexpr std::size_t mostSteps = 64;
+constexpr std::size_t mostPayloadBytes = 4000;
+constexpr std::uint32_t mostOccurrences = 10000;
+
+constexpr std::array<const char *, 5> stateNames{"queued", "running", "completed", "failed", "cancelled"};
+
+Json stepToJson(const StepSpec &step)
+{
+    Json json{{"n", step.tasks}, {"d", {step.demand.processors, step.demand.memory, step.demand.accelerators}}, {"e", step.estimate.count()}};
+    if (!step.after.empty()) {
+        json["a"] = step.after;
+    }
+    const std::uint32_t flags = (step.gang ? 1U : 0U) | (step.preferOneRack ? 2U : 0U) | (step.checkpoints ? 4U : 0U)
+        | (step.copiesAllowed ? 8U : 0U) | (step.lasting ? 16U : 0U);
+    if (flags != 0) {
+        json["f"] = flags;
+    }
+    if (!step.requiredLabel.empty()) {
+        json["l"] = step.requiredLabel;
+    }
+    if (!step.homeRack.empty()) {
+        json["h"] = step.homeRack;
+    }
+    if (step.spreadLimit != 0) {
+        json["s"] = step.spreadLimit;
+    }
+    return json;
+}
+
+StepSpec stepFromJson(const Json &json)
+{
+    StepSpec step;
+    step.tasks = json.at("n").get<std::uint32_t>();
+    const Json &demand = json.at("d");
+    step.demand = {demand.at(0).get<std::int64_t>(), demand.at(1).get<std::int64_t>(), demand.at(2).get<std::int64_t>()};
+    step.estimate = Duration(json.at("e").get<std::int64_t>());
+    step.after = json.value("a", std::vector<std::uint32_t>());
+    const auto flags = json.value("f", 0U);
+    step.gang = (flags & 1U) != 0;
+    step.preferOneRack = (flags & 2U) != 0;
+    step.checkpoints = (flags & 4U) != 0;
+    step.copiesAllowed = (flags & 8U) != 0;
+    step.lasting = (flags & 16U) != 0;
+    step.requiredLabel = json.value("l", "");
+    step.homeRack = json.value("h", "");
+    step.spreadLimit = json.value("s", 0U);
+    return step;
+}
+
+Json unitToJson(const UnitKey &key, const UnitProgress &unit)
+{
+    Json places = Json::array();
+    for (const TaskPlace &place : unit.places) {
+        places.push_back({place.life.worker, place.life.bornUnixMilliseconds, place.agent});
+    }
+    return {key.occurrence, key.step, key.index, unit.succeeded, unit.failures, unit.run, unit.checkpoint, places};
+}
+
+void addUnit(const Json &json, GraphProgress &progress)
+{
+    const UnitKey key{json.at(0).get<std::uint32_t>(), json.at(1).get<std::uint32_t>(), json.at(2).get<std::uint32_t>()};
+    UnitProgress &unit = progress.units[key];
+    unit.succeeded = json.at(3).get<bool>();
+    unit.failures = json.at(4).get<std::uint32_t>();
+    unit.run = json.at(5).get<std::uint32_t>();
+    unit.checkpoint = json.at(6).get<std::string>();
+    for (const Json &place : json.at(7)) {
+        unit.places.push_back({{place.at(0).get<std::string>(), place.at(1).get<std::int64_t>()}, place.at(2).get<std::string>()});
+    }
+}
+
+std::string checkStep(const StepSpec &step, std::size_t index)
+{
+    const std::string name = "step " + std::to_string(index) + ": ";
+    if (step.tasks == 0 || step.tasks > mostTasks) {
+        return name + "number of tasks must be 1 to " + std::to_string(mostTasks);
+    }
+    if (step.demand.processors < 0 || step.demand.memory < 0 || step.demand.accelerators < 0) {
+        return name + "a task can't need less than nothing";
+    }
+    for (const std::uint32_t earlier : step.after) {
+        if (earlier >= index) {
+            return name + "depends on step " + std::to_string(earlier) + ", which is not an earlier one";
+        }
+    }
+    return {};
+}
+
+} // namespace
+
+const char *graphStateName(GraphState state)
+{
+    return stateNames[static_cast<std::size_t>(state)];
+}
+
+std::string encodeGraphSpec(const GraphRecord &record)
+{
+    Json steps = Json::array();
+    for (const StepSpec &step : record.spec.steps) {
+        steps.push_back(stepToJson(step));
+    }
+    const QueueTerms &terms = record.terms;
+    Json json{{"payload", record.spec.payload},
+              {"steps", steps},
+              {"queue", terms.queue},
+              {"workspace", terms.workspace},
+              {"service", terms.service},
+              {"priority", terms.priority},
+              {"attempts", terms.attemptLimit},
+              {"slack", terms.slackFactor},
+              {"target", terms.targetLatency.count()},
+              {"accepted", record.acceptedUnixMilliseconds}};
+    const Repetition &repetition = record.spec.repetition;
+    if (repetition.count != 0) {
+        json["repeat"] = {repetition.count, repetition.firstUnixMilliseconds, repetition.intervalMilliseconds};
+    }
+    return json.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+bool decodeGraphSpec(const std::string &text, GraphRecord &record)
+{
+    try {
+        const Json json = Json::parse(text);
+        record.spec = {};
+        record.spec.payload = json.at("payload").get<std::string>();
+        for (const Json &step : json.at("steps")) {
+            record.spec.steps.push_back(stepFromJson(step));
+        }
+        QueueTerms &terms = record.terms;
+        terms.queue = json.at("queue").get<std::string>();
+        terms.workspace = json.at("workspace").get<std::string>();
+        terms.service = json.at("service").get<std::string>();
+        terms.priority = json.at("priority").get<std::uint32_t>();
+        terms.attemptLimit = json.at("attempts").get<std::uint32_t>();
+        terms.slackFactor = json.at("slack").get<double>();
+        terms.targetLatency = Duration(json.at("target").get<std::int64_t>());
+        record.acceptedUnixMilliseconds = json.at("accepted").get<std::int64_t>();
+        if (const auto repeat = json.find("repeat"); repeat != json.end()) {
+            record.spec.repetition = {repeat->at(0).get<std::uint32_t>(), repeat->at(1).get<std::int64_t>(), repeat->at(2).get<std::int64_t>()};
+        }
+        return checkGraphSpec(record.spec).empty();
+    } catch (const Json::exception &) {
+        return false;
+    }
+}
+
+std::string encodeGraphProgress(const GraphProgress &progress)
+{
+    Json units = Json::array();
+    for (const auto &[key, unit] : progress.units) {
+        units.push_back(unitToJson(key, unit));
+    }
+    return Json{{"state", graphStateName(progress.state)}, {"finished", progress.finishedOccurrences}, {"units", units}}.dump();
+}
+
+std::optional<GraphProgress> decodeGraphProgress(const std::string &text)
+{
+    try {
+        const Json json = Json::parse(text);
+        GraphProgress progress;
+        const auto state = std::find(stateNames.begin(), stateNames.end(), json.at("state").get<std::string>());
+        if (state == stateNames.end()) {
+            return std::nullopt;
+        }
+        progress.state = static_cast<GraphState>(state - stateNames.begin());
+        progress.finishedOccurrences = json.at("finished").get<std::uint32_t>();
+        for (const Json &unit : json.at("units")) {
+            addUnit(unit, progress);
+        }
+        return progress;
+    } catch (const Json::exception &) {
+        return std::nullopt;
+    }
+}
+
+std::string checkGraphSpec(const GraphSpec &spec)
+{
+    if (spec.payload.size() > mostPayloadBytes) {
+        return "payload has more than " + std::to_string(mostPayloadBytes) + " bytes";
+    }
+    if (spec.steps.empty() || spec.steps.size() > mostSteps) {
+        return "number of steps must be 1 to " + std::to_string(mostSteps);
+    }
+    if (spec.repetition.count > mostOccurrences || (spec.repetition.count > 1 && spec.repetition.intervalMilliseconds <= 0)) {
+        return "repetition needs an interval, and at most " + std::to_string(mostOccurrences) + " occurrences";
+    }
+    std::uint32_t total = 0;
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        if (std::string reason = checkStep(spec.steps[index], index); !reason.empty()) {
+            return reason;
+        }
+        total += spec.steps[index].tasks;
+    }
+    return total > mostTasks ? "more than " + std::to_string(mostTasks) + " tasks" : "";
+}
+
+} // namespace banyanlock
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,8 +4,8 @@
 #include "core/Endpoint.h"
 #include "core/Result.h"
 #include "dispatch/AttemptMessage.h"
-#include "platform/EventLoop.h"
-#include "platform/HttpMessage.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpMessage.h"
 
 #include <cstdint>
 #include <functional>
--- /dev/null
+++ b/src/pool/GraphTable.cpp
@@ -0,0 +1,108 @@
+#include "pool/GraphTable.h"
+
+#include "core/Log.h"
+#include "graph/GraphCodec.h"
+#include "pool/PoolRows.h"
+
+#include <algorithm>
+
+namespace banyanlock
+{
+
+bool GraphTable::adoptSpec(GraphRecord &record, const TableRow &row)
+{
+    if (record.specVersion != 0) {
+        return false; // written once
+    }
+    if (!decodeGraphSpec(row.value, record)) {
+        Log::warning("job_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}});
+        return false;
+    }
+    record.specVersion = row.version;
+    return true;
+}
+
+bool GraphTable::adoptProgress(GraphRecord &record, const TableRow &row, bool ownsProgress)
+{
+    if (row.version <= record.progressVersion || (ownsProgress && record.progressVersion != 0)) {
+        return false;
+    }
+    const std::optional<GraphProgress> progress = decodeGraphProgress(row.value);
+    if (!progress) {
+        Log::warning("job_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}});
+        return false;
+    }
+    record.progress = *progress;
+    record.progressVersion = row.version;
+    return true;
+}
+
+std::string GraphTable::adopt(const TableRow &row, bool ownsProgress)
+{
+    std::optional<std::string> id = PoolRows::nameIn(row.key, PoolRows::specPrefix);
+    const bool isSpec = id.has_value();
+    if (!id) {
+        id = PoolRows::nameIn(row.key, PoolRows::progressPrefix);
+    }
+    const bool isProgress = !isSpec && id.has_value();
+    if (!id) {
+        id = PoolRows::nameIn(row.key, PoolRows::cancelPrefix);
+    }
+    if (!id) {
+        return {};
+    }
+    if (row.erased) {
+        if (!isSpec) {
+            return {};
+        }
+        m_open.erase(*id);
+        return m_records.erase(*id) > 0 ? *id : std::string();
+    }
+    GraphRecord &record = m_records[*id];
+    record.id = *id;
+    bool changed = false;
+    if (isSpec) {
+        changed = adoptSpec(record, row);
+    } else if (isProgress) {
+        changed = adoptProgress(record, row, ownsProgress);
+    } else {
+        changed = !record.cancelled;
+        record.cancelled = true;
+    }
+    if (changed && record.isWhole()) {
+        if (hasEnded(record.progress.state)) {
+            m_open.erase(*id);
+        } else {
+            m_open.insert(*id);
+        }
+    }
+    return changed && record.isWhole() ? *id : std::string();
+}
+
+void GraphTable::clear()
+{
+    m_records.clear();
+    m_open.clear();
+}
+
+GraphRecord *GraphTable::find(const std::string &id)
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() || !found->second.isWhole() ? nullptr : &found->second;
+}
+
+const GraphRecord *GraphTable::find(const std::string &id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() || !found->second.isWhole() ? nullptr : &found->second;
+}
+
+std::uint32_t GraphTable::pendingIn(const std::string &queue) const
+{
+    return static_cast<std::uint32_t>(std::ranges::count_if(m_open, [&](const std::string &id) {
+        const GraphRecord *record = find(id);
+        return record != nullptr && record->terms.queue == queue && record->state() == GraphState::Queued;
+    }));
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/pool/PoolCalls.cpp
@@ -0,0 +1,60 @@
+// Calls of the owner to the agents.
+
+#include "pool/PoolScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+
+void PoolScheduler::sendCalls(TimePoint now)
+{
+    for (auto &[agent, worker] : m_workers) {
+        const bool hasAcknowledgement = worker.known && worker.recordedEnd > 0 && !worker.status.ends.empty()
+            && worker.recordedEnd >= worker.status.ends.front().number;
+        if (!worker.pollOut && now >= worker.nextPoll) {
+            sendCall(worker, true, now);
+        } else if (!worker.orders.empty() || hasAcknowledgement) {
+            sendCall(worker, false, now);
+        }
+    }
+}
+
+void PoolScheduler::sendCall(PoolWorker &worker, bool waits, TimePoint now)
+{
+    CallAgent call;
+    call.agent = worker.agent;
+    call.call = m_nextCall++;
+    SuperviseRequest &request = call.request;
+    request.epoch = m_epoch;
+    if (worker.known) {
+        request.validUntil = worker.agentClock(now) + m_times.validity;
+        request.renews = m_renewalsAllowed && now - worker.answeredAt < m_times.silence;
+        request.knownIncarnation = worker.status.agentIncarnation;
+        request.knownStatus = worker.status.number;
+        request.acknowledgedLife = worker.status.worker.life;
+        request.acknowledgedEnd = worker.recordedEnd;
+        request.wait = waits ? m_times.poll : Duration();
+        if (!worker.orders.empty()) {
+            request.orders = std::exchange(worker.orders, {});
+            ++worker.batch;
+        }
+        request.batch = worker.batch;
+        // Acknowledged ends need not be told again.
+        std::erase_if(worker.status.ends, [&](const RunEnd &end) {
+            return end.number <= worker.recordedEnd;
+        });
+    }
+    if (request.renews) {
+        worker.lastRenewal = std::max(worker.lastRenewal, now);
+    }
+    if (waits) {
+        worker.pollOut = true;
+        worker.pollCall = call.call;
+    }
+    call.timeout = request.wait + m_times.answerLimit;
+    m_calls.push_back(std::move(call));
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/pool/PoolPlanner.cpp
@@ -0,0 +1,334 @@
+#include "pool/PoolPlanner.h"
+
+#include "core/Assert.h"
+
+#include <algorithm>
+#include <limits>
+#include <numeric>
+#include <tuple>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr double noFit = std::numeric_limits<double>::infinity();
+
+// Room that is left on a worker after a task is worth more in whole accelerators than in processors.
+double leftover(const Resources &free, const Resources &need)
+{
+    constexpr double acceleratorWeight = 100.0;
+    constexpr double processorWeight = 0.0001;
+    return acceleratorWeight * static_cast<double>(free.accelerators - need.accelerators)
+        + processorWeight * static_cast<double>(free.processors - need.processors);
+}
+
+Resources atLeastNothing(Resources resources)
+{
+    resources.processors = std::max<std::int64_t>(resources.processors, 0);
+    resources.memory = std::max<std::int64_t>(resources.memory, 0);
+    resources.accelerators = std::max<std::int64_t>(resources.accelerators, 0);
+    return resources;
+}
+
+std::vector<std::size_t> orderOf(std::span<const PlanGroup> groups)
+{
+    std::vector<std::size_t> order(groups.size());
+    std::iota(order.begin(), order.end(), 0);
+    const auto rank = [&](std::size_t index) {
+        const PlanGroup &group = groups[index];
+        const bool missed = group.slack < Duration::zero();
+        // What can still meet its objective goes before what has missed it; among these the tightest goes first.
+        return std::tuple(group.guaranteed ? 0 : 1, group.job->terms.priority, missed ? 1 : 0, group.slack);
+    };
+    std::ranges::stable_sort(order, [&](std::size_t left, std::size_t right) {
+        return rank(left) < rank(right);
+    });
+    return order;
+}
+
+} // namespace
+
+bool PoolPlanner::suits(const PlanGroup &group, const PlanWorker &worker)
+{
+    const StepSpec &step = group.spec();
+    return worker.usable && worker.service == group.job->terms.service
+        && (step.requiredLabel.empty() || std::ranges::find(worker.labels, step.requiredLabel) != worker.labels.end());
+}
+
+bool PoolPlanner::exceedsSpread(const PlanGroup &group, std::span<const std::uint32_t> chosen, std::uint32_t worker)
+{
+    const std::uint32_t limit = group.spec().spreadLimit;
+    if (limit == 0) {
+        return false;
+    }
+    const std::uint32_t before = worker < group.onWorker.size() ? group.onWorker[worker] : 0;
+    return before + static_cast<std::uint32_t>(std::ranges::count(chosen, worker)) >= limit;
+}
+
+std::vector<std::string> PoolPlanner::racksOf(const Room &room)
+{
+    std::vector<std::string> racks;
+    for (const PlanWorker &worker : room.workers) {
+        if (worker.usable && std::ranges::find(racks, worker.rack) == racks.end()) {
+            racks.push_back(worker.rack);
+        }
+    }
+    return racks;
+}
+
+bool PoolPlanner::mayBeRemote(const PlanGroup &group, const Room &room) const
+{
+    const StepSpec &step = group.spec();
+    if (step.homeRack.empty() && !(step.gang && step.preferOneRack)) {
+        return true;
+    }
+    if (!step.homeRack.empty()) {
+        const bool homeExists = std::ranges::any_of(room.workers, [&](const PlanWorker &worker) {
+            return worker.rack == step.homeRack && suits(group, worker);
+        });
+        if (!homeExists) {
+            return true;
+        }
+    }
+    return static_cast<double>(group.waited.count()) > m_policy.remoteWaitShare * static_cast<double>(step.estimate.count());
+}
+
+bool PoolPlanner::findInRack(const PlanGroup &group, const Room &room, const std::string &rack, Placement &placement) const
+{
+    const StepSpec &step = group.spec();
+    std::vector<Resources> free;
+    free.reserve(room.workers.size());
+    for (const PlanWorker &worker : room.workers) {
+        free.push_back(worker.free);
+    }
+    for (std::uint32_t member = 0; member < membersOf(step); ++member) {
+        double best = noFit;
+        std::uint32_t bestWorker = 0;
+        for (std::uint32_t worker = 0; worker < room.workers.size(); ++worker) {
+            const PlanWorker &candidate = room.workers[worker];
+            if ((!rack.empty() && candidate.rack != rack) || !suits(group, candidate) || !free[worker].fits(step.demand)
+                || exceedsSpread(group, placement.workers, worker)) {
+                continue;
+            }
+            const double score = leftover(free[worker], step.demand);
+            if (score < best) {
+                best = score;
+                bestWorker = worker;
+            }
+        }
+        if (best == noFit) {
+            return false;
+        }
+        free[bestWorker] -= step.demand;
+        placement.workers.push_back(bestWorker);
+        placement.cost += best;
+    }
+    return true;
+}
+
+bool PoolPlanner::find(const PlanGroup &group, const Room &room, Placement &placement) const
+{
+    const StepSpec &step = group.spec();
+    if (!step.homeRack.empty()) {
+        Placement home;
+        if (findInRack(group, room, step.homeRack, home)) {
+            placement = home;
+            return true;
+        }
+    } else if (step.gang && step.preferOneRack) {
+        bool found = false;
+        for (const std::string &rack : racksOf(room)) {
+            Placement candidate;
+            if (findInRack(group, room, rack, candidate) && (!found || candidate.cost < placement.cost)) {
+                placement = candidate;
+                found = true;
+            }
+        }
+        if (found) {
+            return true;
+        }
+    }
+    Placement anywhere;
+    if (mayBeRemote(group, room) && findInRack(group, room, {}, anywhere)) {
+        placement = anywhere;
+        return true;
+    }
+    return false;
+}
+
+bool PoolPlanner::mayStop(const PlanGroup &group, const PlanVictim &victim)
+{
+    if (victim.priority > group.job->terms.priority) {
+        return true;
+    }
+    return group.guaranteed && !victim.guaranteed;
+}
+
+bool PoolPlanner::stopInRack(const PlanGroup &group, const Room &room, const std::string &rack, Placement &placement) const
+{
+    const StepSpec &step = group.spec();
+    std::vector<Resources> free;
+    std::vector<Resources> freeNow;
+    free.reserve(room.workers.size());
+    for (const PlanWorker &worker : room.workers) {
+        free.push_back(worker.free + worker.stopping);
+        freeNow.push_back(worker.free);
+    }
+    std::vector<bool> stopped = room.stopped;
+    for (std::uint32_t member = 0; member < membersOf(step); ++member) {
+        double best = noFit;
+        std::uint32_t bestWorker = 0;
+        std::vector<std::size_t> bestStops;
+        for (std::uint32_t worker = 0; worker < room.workers.size(); ++worker) {
+            const PlanWorker &candidate = room.workers[worker];
+            if ((!rack.empty() && candidate.rack != rack) || !suits(group, candidate) || exceedsSpread(group, placement.workers, worker)) {
+                continue;
+            }
+            Resources left = free[worker];
+            double cost = 0.0;
+            std::vector<std::size_t> stops;
+            for (const std::size_t victim : room.victimsOn[worker]) {
+                if (left.fits(step.demand)) {
+                    break;
+                }
+                const PlanVictim &running = room.victims[victim];
+                if (stopped[victim] || std::ranges::find(stops, victim) != stops.end() || !mayStop(group, running)) {
+                    continue;
+                }
+                for (const std::uint32_t place : running.workers) {
+                    if (place == worker) {
+                        left += running.demand;
+                    }
+                }
+                stops.push_back(victim);
+                cost += running.lostWork;
+            }
+            if (!left.fits(step.demand)) {
+                continue;
+            }
+            // A tight fit decides between places that cost the same.
+            constexpr double tieWeight = 1e-6;
+            const double score = cost + tieWeight * leftover(left, step.demand);
+            if (score < best) {
+                best = score;
+                bestWorker = worker;
+                bestStops = stops;
+            }
+        }
+        if (best == noFit) {
+            return false;
+        }
+        for (const std::size_t victim : bestStops) {
+            stopped[victim] = true;
+            placement.stops.push_back(victim);
+            for (const std::uint32_t place : room.victims[victim].workers) {
+                free[place] += room.victims[victim].demand;
+            }
+        }
+        free[bestWorker] -= step.demand;
+        placement.waits = placement.waits || !freeNow[bestWorker].fits(step.demand);
+        freeNow[bestWorker] -= step.demand;
+        placement.workers.push_back(bestWorker);
+        placement.cost += best;
+    }
+    return true;
+}
+
+bool PoolPlanner::findByStopping(const PlanGroup &group, const Room &room, Placement &placement) const
+{
+    const StepSpec &step = group.spec();
+    const bool oneRack = step.gang && step.preferOneRack;
+    bool found = false;
+    if (!step.homeRack.empty()) {
+        found = stopInRack(group, room, step.homeRack, placement);
+    } else if (oneRack) {
+        for (const std::string &rack : racksOf(room)) {
+            Placement candidate;
+            if (stopInRack(group, room, rack, candidate) && (!found || candidate.cost < placement.cost)) {
+                placement = candidate;
+                found = true;
+            }
+        }
+    }
+    if (!found) {
+        Placement anywhere;
+        found = stopInRack(group, room, {}, anywhere);
+        placement = anywhere;
+    }
+    if (!found) {
+        return false;
+    }
+    double lostWork = 0.0;
+    for (const std::size_t victim : placement.stops) {
+        lostWork += room.victims[victim].lostWork;
+    }
+    return group.guaranteed || lostWork * m_policy.wastePrice <= m_policy.urgentGain;
+}
+
+PoolPlan PoolPlanner::plan(std::span<const PlanGroup> groups, std::vector<PlanWorker> workers, std::span<const PlanVictim> victims) const
+{
+    PoolPlan plan;
+    Room room;
+    room.workers = std::move(workers);
+    room.victims = victims;
+    room.stopped.assign(victims.size(), false);
+    room.victimsOn.resize(room.workers.size());
+    for (std::size_t victim = 0; victim < victims.size(); ++victim) {
+        for (const std::uint32_t worker : victims[victim].workers) {
+            BANYANLOCK_ASSERT(worker < room.workers.size());
+            if (room.victimsOn[worker].empty() || room.victimsOn[worker].back() != victim) {
+                room.victimsOn[worker].push_back(victim);
+            }
+        }
+    }
+    for (std::vector<std::size_t> &here : room.victimsOn) {
+        std::ranges::stable_sort(here, [&](std::size_t left, std::size_t right) {
+            return std::tuple(victims[left].guaranteed, victims[left].lostWork) < std::tuple(victims[right].guaranteed, victims[right].lostWork);
+        });
+    }
+    for (const std::size_t number : orderOf(groups)) {
+        PlanGroup group = groups[number];
+        for (const std::uint32_t index : group.indexes) {
+            Placement placement;
+            if (find(group, room, placement)) {
+                for (const std::uint32_t worker : placement.workers) {
+                    room.workers[worker].free -= group.spec().demand;
+                    if (worker < group.onWorker.size()) {
+                        ++group.onWorker[worker];
+                    }
+                }
+                plan.starts.push_back({number, index, std::move(placement.workers)});
+                continue;
+            }
+            if (group.job->terms.priority != 0) {
+                break; // the others of the step are alike
+            }
+            Placement forced;
+            if (!findByStopping(group, room, forced)) {
+                break;
+            }
+            for (const std::size_t victim : forced.stops) {
+                room.stopped[victim] = true;
+                plan.stops.push_back(victim);
+                for (const std::uint32_t worker : room.victims[victim].workers) {
+                    room.workers[worker].stopping += room.victims[victim].demand;
+                }
+            }
+            // The room is kept for the unit until the stopped tasks have ended.
+            for (const std::uint32_t worker : forced.workers) {
+                PlanWorker &host = room.workers[worker];
+                const Resources left = host.free + host.stopping;
+                host.free -= group.spec().demand;
+                host.free = atLeastNothing(host.free);
+                Resources all = left;
+                all -= group.spec().demand;
+                host.stopping = all;
+                host.stopping -= host.free;
+            }
+        }
+    }
+    return plan;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/pool/PoolScheduler.cpp
@@ -0,0 +1,248 @@
+#include "pool/PoolScheduler.h"
+
+#include "core/Assert.h"
+#include "core/Log.h"
+#include "graph/GraphCodec.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::array<const char *, 6> stopReasonNames{"none", "cancelled", "job_failed", "preempted", "member_lost", "worker_leaves"};
+
+// A transaction may carry 100 entries; a job adds its row and the check of its cancellation.
+constexpr std::size_t mostJobsInBatch = 40;
+
+} // namespace
+
+const char *stopReasonName(StopReason reason)
+{
+    return stopReasonNames[static_cast<std::size_t>(reason)];
+}
+
+PoolScheduler::PoolScheduler(GraphTable &jobs, const OperatorView &operators, OperatorRows rows, PoolTimes times, PlannerPolicy policy,
+                             Counters &counters)
+    : m_jobs(jobs)
+    , m_operators(operators)
+    , m_rows(std::move(rows))
+    , m_times(times)
+    , m_planner(policy)
+    , m_counters(counters)
+{
+}
+
+void PoolScheduler::own(std::uint64_t epoch, TimePoint now)
+{
+    BANYANLOCK_ASSERT(epoch != 0);
+    disown();
+    m_epoch = epoch;
+    m_ownedAt = now;
+    m_changed = true;
+    for (auto &[agent, worker] : m_workers) {
+        const std::string address = agent;
+        worker = PoolWorker();
+        worker.agent = address;
+        // An earlier owner that is cut off may go on renewing for a while.
+        worker.lastRenewal = now + m_times.detached;
+    }
+    adoptRunning(now);
+}
+
+void PoolScheduler::adoptRunning(TimePoint now)
+{
+    for (const std::string &id : m_jobs.open()) {
+        const GraphRecord *job = m_jobs.find(id);
+        if (job == nullptr) {
+            continue;
+        }
+        for (const auto &[key, progress] : job->progress.units) {
+            if (progress.places.empty()) {
+                continue;
+            }
+            ActiveUnit unit;
+            unit.job = id;
+            unit.key = key;
+            unit.run = progress.run;
+            unit.phase = UnitPhase::Started;
+            unit.startedAt = now;
+            for (std::uint32_t index = 0; index < progress.places.size(); ++index) {
+                ActiveMember member;
+                const std::uint32_t task = job->spec.steps[key.step].gang ? index : key.index;
+                member.run = {{id, key.occurrence, key.step, task}, progress.run};
+                member.place = progress.places[index];
+                member.settledAt = now + m_times.settle;
+                member.checkpoint = progress.checkpoint;
+                addAgent(member.place.agent);
+                unit.members.push_back(std::move(member));
+            }
+            m_units[{id, key}] = std::move(unit);
+        }
+    }
+    Log::info("pool_learned", {{"epoch", static_cast<std::int64_t>(m_epoch)},
+                               {"open_jobs", static_cast<std::int64_t>(m_jobs.open().size())},
+                               {"running_units", static_cast<std::int64_t>(m_units.size())}});
+}
+
+void PoolScheduler::disown()
+{
+    m_epoch = 0;
+    m_units.clear();
+    m_dirty.clear();
+    m_recording.clear();
+    m_batchJobs.clear();
+    m_endsInBatch.clear();
+    m_waitingSince.clear();
+    m_calls.clear();
+    m_batchOut = false;
+}
+
+void PoolScheduler::addAgent(const std::string &agent)
+{
+    if (m_workers.contains(agent)) {
+        return;
+    }
+    PoolWorker worker;
+    worker.agent = agent;
+    worker.lastRenewal = m_ownedAt + m_times.detached;
+    m_workers[agent] = std::move(worker);
+    m_changed = true;
+}
+
+void PoolScheduler::markDirty(const std::string &job)
+{
+    m_dirty.insert(job);
+}
+
+void PoolScheduler::step(TimePoint now, std::int64_t unixMilliseconds)
+{
+    if (!isOwned()) {
+        return;
+    }
+    // Clocks of some instances may jump; the median of all does not.
+    std::vector<std::int64_t> offsets{unixMilliseconds - toMilliseconds(now.time_since_epoch())};
+    for (const auto &[agent, worker] : m_workers) {
+        if (worker.known) {
+            offsets.push_back(worker.status.unixMilliseconds - toMilliseconds(worker.answeredAt.time_since_epoch()));
+        }
+    }
+    std::ranges::nth_element(offsets, offsets.begin() + static_cast<std::ptrdiff_t>(offsets.size() / 2));
+    m_unixOffset = offsets[offsets.size() / 2];
+    expireSilent(now);
+    stopUnwanted(now);
+    closeEnded(now);
+    schedule(now);
+    sendCalls(now);
+    m_changed = false;
+}
+
+std::optional<PoolBatch> PoolScheduler::takeBatch()
+{
+    if (!isOwned() || m_batchOut || m_dirty.empty()) {
+        return std::nullopt;
+    }
+    PoolBatch batch;
+    std::set<std::string> domains;
+    std::set<std::string> starting;
+    std::vector<std::string> written;
+    for (const std::string &id : m_dirty) {
+        if (written.size() >= mostJobsInBatch) {
+            break;
+        }
+        const GraphRecord *job = m_jobs.find(id);
+        BANYANLOCK_ASSERT(job != nullptr);
+        batch.writes.push_back(
+            {std::string(PoolRows::table), PoolRows::keyOf(PoolRows::progressPrefix, id), encodeGraphProgress(job->progress)});
+        written.push_back(id);
+        for (auto unit = m_units.lower_bound({id, UnitKey()}); unit != m_units.end() && unit->first.first == id; ++unit) {
+            if (unit->second.phase != UnitPhase::Planned) {
+                continue;
+            }
+            unit->second.phase = UnitPhase::Recording;
+            m_recording.push_back(unit->first);
+            starting.insert(id);
+            for (const ActiveMember &member : unit->second.members) {
+                domains.insert(m_workers.at(member.place.agent).status.worker.failureDomain);
+            }
+        }
+    }
+    for (const std::string &id : written) {
+        m_dirty.erase(id);
+    }
+    m_batchJobs = written;
+    for (const std::string &id : starting) {
+        batch.checks.push_back({std::string(PoolRows::table), PoolRows::keyOf(PoolRows::cancelPrefix, id), 0});
+    }
+    if (!starting.empty()) {
+        batch.checks.push_back({m_rows.table, m_rows.configurationKey, m_operators.configurationRowVersion});
+        for (const std::string &domain : domains) {
+            batch.checks.push_back({m_rows.table, m_rows.outDomainPrefix + domain, 0});
+        }
+    }
+    m_endsInBatch.clear();
+    if (m_dirty.empty()) {
+        for (const auto &[agent, worker] : m_workers) {
+            m_endsInBatch[agent] = worker.processedEnd;
+        }
+    }
+    m_batchOut = true;
+    return batch;
+}
+
+void PoolScheduler::onCommitted(TimePoint now)
+{
+    if (!isOwned()) {
+        return;
+    }
+    m_batchOut = false;
+    for (const auto &[agent, end] : m_endsInBatch) {
+        PoolWorker &worker = m_workers.at(agent);
+        if (end > worker.recordedEnd && end <= worker.processedEnd) {
+            worker.recordedEnd = end;
+        }
+    }
+    m_endsInBatch.clear();
+    for (const UnitId &id : std::exchange(m_recording, {})) {
+        const auto found = m_units.find(id);
+        if (found != m_units.end() && found->second.phase == UnitPhase::Recording) {
+            found->second.phase = UnitPhase::Started;
+            m_counters.add(Counter::PoolRunsRecorded, found->second.members.size());
+            orderStarts(found->second, now);
+        }
+    }
+    m_changed = true;
+}
+
+void PoolScheduler::onConflict()
+{
+    if (!isOwned()) {
+        return;
+    }
+    m_batchOut = false;
+    m_endsInBatch.clear();
+    for (const UnitId &id : std::exchange(m_recording, {})) {
+        GraphRecord *job = m_jobs.find(id.first);
+        BANYANLOCK_ASSERT(job != nullptr);
+        UnitProgress &progress = job->progress.units[id.second];
+        --progress.run; // nothing was ordered under this number
+        progress.places.clear();
+        m_units.erase(id);
+        Log::info("start_withdrawn", {{"job", id.first},
+                                      {"configuration_row", static_cast<std::int64_t>(m_operators.configurationRowVersion)}});
+    }
+    // What the batch carried beside starts is written with the next one.
+    m_dirty.insert(m_batchJobs.begin(), m_batchJobs.end());
+    m_batchJobs.clear();
+    m_changed = true;
+}
+
+std::vector<CallAgent> PoolScheduler::takeCalls()
+{
+    return std::exchange(m_calls, {});
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/pool/PoolScheduler.h
@@ -0,0 +1,222 @@
+#pragma once
+
+#include "core/Counters.h"
+#include "core/TableTypes.h"
+#include "pool/ActiveUnit.h"
+#include "pool/GraphTable.h"
+#include "pool/PoolConfiguration.h"
+#include "pool/PoolPlanner.h"
+#include "pool/PoolRows.h"
+#include "pool/PoolWorker.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Times that the owner of a pool keeps.
+struct PoolTimes {
+    Duration lease = fromMilliseconds(6000); ///< Lease of the workers' tasks; setting.
+    Duration leaseSlack = fromMilliseconds(320); ///< A worker's clock may run 2 % slow, and timers fire late.
+    Duration validity = fromMilliseconds(1000); ///< Time after which an agent passes over a call.
+    Duration startLimit = fromMilliseconds(1500); ///< Time after which a worker refuses a start; far under the bounds of draining and taking out.
+    Duration settle = fromMilliseconds(2200); ///< Start limit with the slack of clocks: afterwards a start can't come any more.
+    Duration poll = fromMilliseconds(1000); ///< Longest wait of a call for news.
+    Duration answerLimit = fromMilliseconds(600); ///< Time for an answer beyond the wait.
+    Duration retry = fromMilliseconds(250); ///< Pause after a call that failed.
+    Duration silence = fromMilliseconds(2000); ///< Time without an answer after which nothing is renewed or placed.
+    Duration detached = fromMilliseconds(8000); ///< Time for which an owner that can't reach the table service renews leases.
+    Duration stopRepeat = fromMilliseconds(500); ///< Pause between two stops of the same run.
+    Duration gangGrace = fromMilliseconds(1500); ///< Time for all members of a gang to start; half of what members wait.
+    Duration quarantine = fromMilliseconds(5000); ///< Time for which a worker that fails what it is given gets nothing.
+};
+
+/// Calls an agent; its status or its silence comes back as an event.
+struct CallAgent {
+    std::string agent; ///< RPC address of the agent.
+    std::uint64_t call = 0; ///< Number of the call.
+    SuperviseRequest request; ///< The call.
+    Duration timeout{}; ///< Limit for the answer.
+};
+
+/// A transaction on the pool's rows, to which the shell adds the owner's row.
+struct PoolBatch {
+    std::vector<RowCheck> checks; ///< Conditions.
+    std::vector<RowWrite> writes; ///< Writes.
+};
+
+/// What the scheduler knows of the operators' wishes.
+struct OperatorView {
+    PoolConfiguration configuration; ///< Adopted configuration.
+    std::uint64_t configurationRowVersion = 0; ///< Version of its row.
+    std::set<std::string> outDomains; ///< Failure domains that are out.
+};
+
+/// The scheduler of a pool of workers, run by the entry that owns it.
+///
+/// Starts are recorded in the table service before they are ordered. The transaction checks the owner's row, the configuration, the
+/// failure domains and the job's cancellation, so an owner that was paused, or old news, starts nothing. Ends are recorded before they are
+/// acknowledged, so a new owner finds each end either in the rows or at the worker.
+class PoolScheduler
+{
+public:
+    /// @param jobs All jobs.
+    /// @param operators What operators have set.
+    /// @param rows Names of the operators' rows.
+    /// @param times Times to keep.
+    /// @param policy Weights of the planner.
+    /// @param counters Counters.
+    PoolScheduler(GraphTable &jobs, const OperatorView &operators, OperatorRows rows, PoolTimes times, PlannerPolicy policy,
+                  Counters &counters);
+
+    /// Takes the pool over; all rows up to the taking have been read.
+    /// @param epoch Fencing token.
+    /// @param now Current time.
+    void own(std::uint64_t epoch, TimePoint now);
+
+    /// Gives the pool up: nothing is sent any more.
+    void disown();
+
+    /// @return Whether this entry owns the pool.
+    bool isOwned() const
+    {
+        return m_epoch != 0;
+    }
+
+    /// Sets whether leases may be renewed.
+    /// @param allowed Whether the owner has reached the table service lately.
+    void allowRenewals(bool allowed)
+    {
+        m_renewalsAllowed = allowed;
+    }
+
+    /// Tells that jobs, cancellations or operators' wishes have changed.
+    void onRows()
+    {
+        m_changed = true;
+    }
+
+    /// Takes in that an agent exists.
+    /// @param agent RPC address.
+    void addAgent(const std::string &agent);
+
+    /// Takes in the answer to a `CallAgent` action.
+    /// @param agent RPC address of the agent.
+    /// @param call Number of the call.
+    /// @param status Its status, or null without an answer.
+    /// @param sentAt When the call was sent.
+    /// @param now Current time.
+    void onAnswer(const std::string &agent, std::uint64_t call, const WorkerStatus *status, TimePoint sentAt, TimePoint now);
+
+    /// @return Whether events have come since the last step.
+    bool isStepDue() const
+    {
+        return isOwned() && m_changed;
+    }
+
+    /// Does what is due.
+    /// @param now Current time.
+    /// @param unixMilliseconds Time of day by this instance's clock.
+    void step(TimePoint now, std::int64_t unixMilliseconds);
+
+    /// @return The transaction that is due, if any has something to write; it is under way until `onCommitted` or `onConflict`.
+    std::optional<PoolBatch> takeBatch();
+
+    /// Takes in that the batch has taken effect.
+    /// @param now Current time.
+    void onCommitted(TimePoint now);
+
+    /// Takes in that the batch was refused, for a change of configuration, failure domains or cancellations that is known by now.
+    void onConflict();
+
+    /// @return The calls collected since the last call, in order.
+    std::vector<CallAgent> takeCalls();
+
+    /// @return Units that run.
+    const std::map<std::pair<std::string, UnitKey>, ActiveUnit> &units() const
+    {
+        return m_units;
+    }
+
+    /// @return The workers, by agent.
+    const std::map<std::string, PoolWorker> &workers() const
+    {
+        return m_workers;
+    }
+
+    /// @return Whether a job's rows are to be written.
+    bool hasUnwritten() const
+    {
+        return !m_dirty.empty();
+    }
+
+private:
+    using UnitId = std::pair<std::string, UnitKey>;
+
+    // PoolScheduler.cpp: ownership and rows
+    void adoptRunning(TimePoint now);
+    void markDirty(const std::string &job);
+
+    // PoolUnits.cpp: life cycle of units
+    void takeStatus(PoolWorker &worker, TimePoint now);
+    void updateMember(ActiveMember &member, const PoolWorker &worker, TimePoint now);
+    void expireSilent(TimePoint now);
+    void checkGang(ActiveUnit &unit, TimePoint now);
+    void stop(ActiveUnit &unit, StopReason reason);
+    void sendStops(ActiveUnit &unit, TimePoint now);
+    void closeEnded(TimePoint now);
+    void close(const ActiveUnit &unit, TimePoint now);
+    void noteEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
+    void finishJob(GraphRecord &job, GraphState state);
+    void dropFinishedOccurrences(GraphRecord &job) const;
+    void stopStrangers(PoolWorker &worker, TimePoint now);
+    void stopUnwanted(TimePoint now);
+    void orderStarts(ActiveUnit &unit, TimePoint now);
+    PoolWorker *findWorker(const TaskPlace &place);
+
+    // PoolPlanning.cpp: what waits, and where it goes
+    void schedule(TimePoint now);
+    void addGroups(const GraphRecord &job, TimePoint now, const std::vector<std::string> &agents, std::vector<PlanGroup> &groups);
+    bool isDue(const GraphRecord &job, std::uint32_t occurrence, TimePoint now) const;
+    bool isReady(const GraphRecord &job, std::uint32_t occurrence, const StepSpec &step) const;
+    bool stepSucceeded(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step) const;
+    std::int64_t unixNow(TimePoint now) const;
+    Duration slackOf(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now) const;
+    std::set<std::string> guaranteedJobs() const;
+    std::vector<PlanWorker> planWorkers(const std::vector<std::string> &agents, TimePoint now) const;
+    bool isUsable(const PoolWorker &worker, TimePoint now) const;
+    void place(const PlanGroup &group, const PlannedStart &start, const std::vector<std::string> &agents, TimePoint now);
+
+    // PoolCalls.cpp: calls to agents
+    void sendCalls(TimePoint now);
+    void sendCall(PoolWorker &worker, bool waits, TimePoint now);
+
+    GraphTable &m_jobs;
+    const OperatorView &m_operators;
+    OperatorRows m_rows;
+    PoolTimes m_times;
+    PoolPlanner m_planner;
+    Counters &m_counters;
+    std::map<std::string, PoolWorker> m_workers; // by agent
+    std::map<UnitId, ActiveUnit> m_units;
+    std::set<std::string> m_dirty; // jobs whose progress is to be written
+    std::vector<UnitId> m_recording; // units whose start the batch under way records
+    std::vector<std::string> m_batchJobs; // jobs whose progress the batch under way writes
+    std::map<std::string, std::uint64_t> m_endsInBatch; // by agent
+    std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
+    std::vector<CallAgent> m_calls;
+    TimePoint m_ownedAt{};
+    std::int64_t m_unixOffset = 0; // milliseconds between the time of day and this instance's clock
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_nextCall = 1;
+    bool m_batchOut = false;
+    bool m_changed = false;
+    bool m_renewalsAllowed = true;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/pool/PoolWorker.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "pool/WorkerStatus.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// An agent and its worker as the owner of the pool knows them.
+struct PoolWorker {
+    std::string agent; ///< RPC address of the agent.
+    WorkerStatus status; ///< Newest status.
+    bool known = false; ///< A status has come under this ownership.
+    TimePoint askedAt{}; ///< When the call was sent that the newest status answers.
+    TimePoint answeredAt{}; ///< When the newest status came.
+    TimePoint lastRenewal{}; ///< Latest moment at which a renewal can have been sent that the agent has not answered.
+    bool pollOut = false; ///< A waiting call is under way.
+    std::uint64_t pollCall = 0; ///< Its number.
+    TimePoint nextPoll{}; ///< When to call again after a failure.
+    std::uint64_t batch = 0; ///< Number of the newest batch of orders.
+    std::vector<TaskOrder> orders; ///< Orders that were not sent.
+    std::uint64_t processedEnd = 0; ///< Ends up to this number are taken into the jobs.
+    std::uint64_t recordedEnd = 0; ///< Ends up to this number are recorded in the table service.
+    std::uint32_t failuresInRow = 0; ///< Failed tasks since the last good one.
+    TimePoint quarantinedUntil{}; ///< Nothing is placed before this time.
+
+    /// @param now Current time.
+    /// @return The agent's clock, at the least.
+    TimePoint agentClock(TimePoint now) const
+    {
+        return status.clock + (now - answeredAt);
+    }
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/pool/WorkerSupervisor.h
@@ -0,0 +1,215 @@
+#pragma once
+
+#include "core/Counters.h"
+#include "pool/WorkerStatus.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// Times that an agent keeps towards its worker.
+struct SupervisorTimes {
+    Duration lease = fromMilliseconds(6000); ///< Time for which the worker's tasks go on after the owner's last renewal; setting.
+    Duration poll = fromMilliseconds(1000); ///< Longest wait for an end; half of what the lease would bear, and under the start limit.
+    Duration repeat = fromMilliseconds(200); ///< Pause between two looks at a list whose ends are not acknowledged, and after failures.
+    Duration silence = fromMilliseconds(2500); ///< Time without lists after which the lease is not renewed; bears one lost answer.
+    Duration leaseSlack = fromMilliseconds(320); ///< The worker's clock may run 2 % slow, and timers fire late.
+    Duration orderLimit = fromMilliseconds(700); ///< Time after which an unanswered start is closed by a stop.
+};
+
+/// Asks the worker for its lists, renews its lease and acknowledges ends.
+struct RenewWorker {
+    std::uint64_t epoch = 0; ///< Fencing token.
+    std::uint64_t acknowledgedEnd = 0; ///< Ends up to this number may be forgotten.
+    std::optional<Duration> leaseEnd; ///< End of the lease on the worker's clock; none when nothing may be renewed.
+    Duration wait{}; ///< Time that the worker may wait for an end.
+    WorkerLife life; ///< Life that is meant.
+};
+
+/// Starts a task at the worker.
+struct StartTask {
+    RunName run; ///< The run.
+    WorkerLife life; ///< Life that is meant.
+    std::uint64_t epoch = 0; ///< Fencing token.
+    std::string payload; ///< Text for the task.
+    std::string checkpoint; ///< Where to go on.
+    Duration startBy{}; ///< Latest start, on the worker's clock.
+};
+
+/// Stops a task at the worker.
+struct StopTask {
+    RunName run; ///< The run.
+    WorkerLife life; ///< Life that is meant.
+    std::uint64_t epoch = 0; ///< Fencing token.
+};
+
+/// What a supervisor asks its shell to do.
+using SupervisorAction = std::variant<RenewWorker, StartTask, StopTask>;
+
+/// How an order to the worker went.
+enum class OrderOutcome : std::uint8_t {
+    Done, ///< The worker has carried it out.
+    Refused, ///< The worker has refused it, and nothing was done.
+    OtherLife, ///< Another life of the worker answered.
+    Unknown, ///< No answer: it may have been done, or may be done later.
+};
+
+/// The worker's lists.
+struct WorkerLists {
+    std::int64_t bornUnixMilliseconds = 0; ///< Life that answers.
+    Duration clock{}; ///< The worker's clock.
+    std::vector<RunReport> runs; ///< What runs.
+    std::vector<RunEnd> ends; ///< Ends that were not acknowledged.
+};
+
+/// Supervises the worker on the agent's instance for the owner of the pool.
+///
+/// It is the only one that gives the worker orders. It keeps nothing: after a restart it learns from the worker's lists what runs. It
+/// renews the lease only as long as the owner has renewed its own word, so that a worker that the owner can't reach stops by itself.
+class WorkerSupervisor
+{
+public:
+    /// @param incarnation Number of the agent's process.
+    /// @param times Times to keep.
+    /// @param counters Counters.
+    WorkerSupervisor(std::uint64_t incarnation, SupervisorTimes times, Counters &counters);
+
+    /// Takes in what the worker says of itself.
+    /// @param announcement What it says.
+    /// @param now Current time.
+    /// @return Whether it was news; an announcement of an earlier life or with an earlier number is dropped.
+    bool onAnnouncement(const WorkerAnnouncement &announcement, TimePoint now);
+
+    /// Takes in that the worker has left.
+    /// @param worker Id of the worker.
+    void onDeparture(const std::string &worker);
+
+    /// Takes in a call of an owner.
+    /// @param request The call.
+    /// @param now Current time.
+    /// @return Whether it was taken; a call of an earlier owner is not.
+    bool onSupervise(const SuperviseRequest &request, TimePoint now);
+
+    /// Takes in the answer to a `RenewWorker` action.
+    /// @param action The action.
+    /// @param lists The lists, or nothing without an answer.
+    /// @param now Current time.
+    void onLists(const RenewWorker &action, const std::optional<WorkerLists> &lists, TimePoint now);
+
+    /// Takes in the answer to a `StartTask` action.
+    /// @param action The action.
+    /// @param outcome How it went.
+    /// @param reason The worker's reason for a refusal.
+    /// @param now Current time.
+    void onStarted(const StartTask &action, OrderOutcome outcome, const std::string &reason, TimePoint now);
+
+    /// Takes in the answer to a `StopTask` action.
+    /// @param action The action.
+    /// @param outcome How it went.
+    /// @param now Current time.
+    void onStopped(const StopTask &action, OrderOutcome outcome, TimePoint now);
+
+    /// Does what is due.
+    /// @param now Current time.
+    void step(TimePoint now);
+
+    /// @param now Current time.
+    /// @return When `step` has something to do again.
+    TimePoint nextStep(TimePoint now) const;
+
+    /// Tells the owner that the agent stops; the worker's tasks go on.
+    void leave();
+
+    /// @param now Current time.
+    /// @param unixMilliseconds Time of day.
+    /// @return What the owner gets to see.
+    WorkerStatus status(TimePoint now, std::int64_t unixMilliseconds) const;
+
+    /// @return Number of the newest status.
+    std::uint64_t statusNumber() const
+    {
+        return m_number;
+    }
+
+    /// @return Highest epoch that was heard of.
+    std::uint64_t epoch() const
+    {
+        return m_epoch;
+    }
+
+    /// @return What the worker said last, if it has said anything.
+    const std::optional<WorkerAnnouncement> &worker() const
+    {
+        return m_worker;
+    }
+
+    /// @return The actions collected since the last call, in order.
+    std::vector<SupervisorAction> takeActions();
+
+private:
+    /// A start or stop that is under way.
+    struct PendingOrder {
+        TaskOrder order;
+        bool outstanding = false; // a call to the worker is under way
+        TimePoint nextTry{};
+    };
+
+    void changed()
+    {
+        ++m_number;
+    }
+
+    void resetLife();
+    void takeOrder(const TaskOrder &order, TimePoint now);
+    void beginStop(const RunName &run, const WorkerLife &life, TimePoint now);
+    void refuse(const RunName &run, const std::string &reason);
+    void adoptLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now);
+    void closePassedStarts(TimePoint listedAt);
+    Duration workerClock(TimePoint now) const;
+    bool isListed(const RunName &run) const;
+    bool isAnswering(TimePoint now) const;
+    void noteSilence(TimePoint now);
+    void sendRenewal(TimePoint now);
+    void sendStops(TimePoint now);
+
+    std::uint64_t m_incarnation;
+    SupervisorTimes m_times;
+    Counters &m_counters;
+    std::uint64_t m_number = 1;
+    std::optional<WorkerAnnouncement> m_worker;
+    std::uint64_t m_epoch = 0;
+    std::uint64_t m_ordersSeen = 0;
+    TimePoint m_ownerContact{};
+    bool m_hasOwnerContact = false;
+    bool m_leaving = false;
+
+    bool m_listed = false;
+    bool m_renewalOut = false;
+    std::uint64_t m_renewalEpoch = 0; // highest epoch that the worker has surely heard of
+    TimePoint m_renewalSentAt{};
+    TimePoint m_leaseSentAt{}; // when the lease was last renewed, answered or not
+    bool m_silent = false;
+    bool m_lapsed = false;
+    TimePoint m_nextRenewal{};
+    Duration m_clockAtAnswer{};
+    TimePoint m_answeredAt{};
+    std::vector<RunReport> m_runs;
+    std::vector<RunEnd> m_ends;
+    std::uint64_t m_acknowledgedEnd = 0;
+    std::map<RunName, PendingOrder> m_starts;
+    std::map<RunName, TimePoint> m_confirmed; // started after the newest lists were asked for
+    std::map<RunName, PendingOrder> m_stops;
+    std::set<RunName> m_closed; // runs that may not start any more
+    std::deque<RunRefusal> m_refusals;
+    std::vector<SupervisorAction> m_actions;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -0,0 +1,260 @@
+#pragma once
+
+#include "core/Endpoint.h"
+#include "core/Incarnation.h"
+#include "poolhost/PoolEntryDaemon.h"
+
+#include <list>
+#include <string>
+#include <utility>
+
+namespace banyanlock
+{
+
+/// The agent of a pool's worker: hears its announcements, carries out the owner's orders, and registers in the table service.
+/// @tparam Platform Adapter of the platform.
+template <PoolPlatform Platform> class PoolAgentDaemon
+{
+public:
+    /// @param settings Checked settings.
+    explicit PoolAgentDaemon(PoolAgentSettings settings)
+        : m_settings(std::move(settings))
+        , m_http(connectionsPerHost)
+        , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
+        , m_worker(m_settings.workerUrl, m_loop, m_http)
+        , m_supervisor(makeIncarnation(), makeTimes(m_settings), m_counters)
+        , m_announcements(m_loop, HttpServerLimits(), m_counters,
+                          [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+                              serveWorker(request, respond);
+                          })
+        , m_metrics(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
+            ServerResponse response;
+            response.contentType = "text/plain; version=0.0.4";
+            response.body = std::make_shared<const std::string>(m_counters.toPrometheus());
+            respond(std::move(response));
+        })
+    {
+    }
+
+    /// Runs until a graceful shutdown has ended.
+    /// @return Done, or why it could not start.
+    Result<Done> run()
+    {
+        m_loop.setFlush([this] {
+            flush();
+        });
+        Result<Done> listening = m_announcements.listen(*Endpoint::parse(m_settings.announceAddress));
+        if (isOk(listening) && !m_settings.metricsAddress.empty()) {
+            listening = m_metrics.listen(*Endpoint::parse(m_settings.metricsAddress));
+        }
+        if (isOk(listening)) {
+            listening = m_rpc.serveSupervisor(*Endpoint::parse(m_settings.rpcAddress), makeHandlers());
+        }
+        if (!isOk(listening)) {
+            return listening;
+        }
+        Log::info("agent_started", {{"rpc", m_settings.rpcAddress}, {"worker", m_settings.workerUrl}});
+        m_loop.onShutdown([this] {
+            shutDown();
+        });
+        m_loop.run();
+        Log::info("agent_stopped");
+        return Done();
+    }
+
+private:
+    using Reply = std::function<void(WorkerStatus)>;
+
+    struct WaitingCall {
+        SuperviseRequest request;
+        Reply reply;
+        TimePoint until{};
+    };
+
+    static constexpr long connectionsPerHost = 16; // orders of one decision go out side by side
+    static constexpr Duration registrationRetry = fromMilliseconds(500); // two tries a second while the table service is away
+    static constexpr Duration lastAnswers = fromMilliseconds(150); // time for the last statuses to leave
+
+    static SupervisorTimes makeTimes(const PoolAgentSettings &settings)
+    {
+        SupervisorTimes times;
+        times.lease = fromMilliseconds(settings.leaseMilliseconds);
+        constexpr std::int64_t slowClockShare = 50; // clocks are up to 2 % slow
+        constexpr Duration timerSlack = fromMilliseconds(200);
+        times.leaseSlack = times.lease / slowClockShare + timerSlack;
+        return times;
+    }
+
+    SupervisorHandlers makeHandlers()
+    {
+        SupervisorHandlers handlers;
+        handlers.supervise = [this](SuperviseRequest request, Reply reply) {
+            m_loop.post([this, request = std::move(request), reply = std::move(reply)]() mutable {
+                supervise(std::move(request), std::move(reply));
+            });
+        };
+        return handlers;
+    }
+
+    void supervise(SuperviseRequest request, Reply reply)
+    {
+        const TimePoint now = EventLoop::now();
+        const bool taken = m_supervisor.onSupervise(request, now);
+        WaitingCall call{std::move(request), std::move(reply), now};
+        if (taken) {
+            call.until = now + call.request.wait;
+        }
+        m_waiting.push_back(std::move(call));
+    }
+
+    bool hasNewsFor(const SuperviseRequest &request) const
+    {
+        return request.knownIncarnation != m_incarnationSeen || request.knownStatus != m_supervisor.statusNumber()
+            || request.epoch != m_supervisor.epoch();
+    }
+
+    void serveWorker(const ServerRequest &request, const HttpServer::Responder &respond)
+    {
+        constexpr int badRequest = 400;
+        ServerResponse response;
+        if (const std::optional<std::string> departed = Platform::departedWorker(request)) {
+            m_supervisor.onDeparture(*departed);
+            respond(std::move(response));
+            return;
+        }
+        const Result<WorkerAnnouncement> announcement = Platform::decodeAnnouncement(request);
+        if (!isOk(announcement)) {
+            Log::warning("announcement_refused", {{"reason", errorOf(announcement).detail}});
+            response.status = badRequest;
+            respond(std::move(response));
+            return;
+        }
+        m_supervisor.onAnnouncement(valueOf(announcement), EventLoop::now());
+        respond(std::move(response));
+    }
+
+    void registerAgent(TimePoint now)
+    {
+        if (m_registered || m_registering || !m_supervisor.worker() || now < m_registerAfter) {
+            return;
+        }
+        m_registering = true;
+        TableTransaction transaction;
+        transaction.changeId = "register/" + m_settings.rpcAddress;
+        transaction.writes = {{std::string(PoolRows::table), PoolRows::keyOf(PoolRows::workerPrefix, m_settings.rpcAddress),
+                               "{\"failure_domain\":\"" + m_settings.failureDomain + "\"}"}};
+        m_store.commit(transaction, [this](const CommitResult &result) {
+            m_registering = false;
+            m_registered = result.state == CommitState::Committed;
+            m_registerAfter = EventLoop::now() + registrationRetry;
+            if (m_registered) {
+                Log::info("agent_registered", {{"row", static_cast<std::int64_t>(result.version)}});
+            }
+        });
+    }
+
+    void flush()
+    {
+        const TimePoint now = EventLoop::now();
+        registerAgent(now);
+        m_supervisor.step(now);
+        for (SupervisorAction &action : m_supervisor.takeActions()) {
+            std::visit(
+                [this](auto &what) {
+                    carryOut(std::move(what));
+                },
+                action);
+        }
+        answerWaiting(now);
+        arm(now);
+    }
+
+    void answerWaiting(TimePoint now)
+    {
+        if (m_waiting.empty()) {
+            return;
+        }
+        const WorkerStatus status = m_supervisor.status(now, unixMillisecondsNow());
+        m_incarnationSeen = status.agentIncarnation;
+        for (auto call = m_waiting.begin(); call != m_waiting.end();) {
+            if (now >= call->until || hasNewsFor(call->request) || m_stopping) {
+                call->reply(status);
+                call = m_waiting.erase(call);
+            } else {
+                ++call;
+            }
+        }
+    }
+
+    void arm(TimePoint now)
+    {
+        TimePoint next = m_supervisor.nextStep(now);
+        for (const WaitingCall &call : m_waiting) {
+            next = std::min(next, call.until);
+        }
+        if (!m_registered && m_supervisor.worker()) {
+            next = std::min(next, std::max(m_registerAfter, now + fromMilliseconds(1)));
+        }
+        if (next == m_armedFor) {
+            return;
+        }
+        m_loop.timers().cancel(m_timer);
+        m_armedFor = next;
+        m_timer = m_loop.timers().subscribe(next, [this](TimePoint) {
+            m_armedFor = TimePoint();
+        });
+    }
+
+    void carryOut(RenewWorker action)
+    {
+        m_worker.renew(action, [this, action](const std::optional<WorkerLists> &lists) {
+            m_supervisor.onLists(action, lists, EventLoop::now());
+        });
+    }
+
+    void carryOut(StartTask action)
+    {
+        m_worker.start(action, [this, action](OrderOutcome outcome, const std::string &reason) {
+            m_supervisor.onStarted(action, outcome, reason, EventLoop::now());
+        });
+    }
+
+    void carryOut(StopTask action)
+    {
+        m_worker.stop(action, [this, action](OrderOutcome outcome) {
+            m_supervisor.onStopped(action, outcome, EventLoop::now());
+        });
+    }
+
+    void shutDown()
+    {
+        // The worker's tasks live on: the next process of the agent, or the end of their leases, takes care of them.
+        Log::info("agent_draining");
+        m_stopping = true;
+        m_supervisor.leave();
+        m_loop.timers().subscribe(EventLoop::now() + lastAnswers, [this](TimePoint) {
+            m_loop.stop();
+        });
+    }
+
+    PoolAgentSettings m_settings;
+    Counters m_counters;
+    EventLoop m_loop;
+    HttpClient m_http;
+    RpcNode m_rpc;
+    typename Platform::Store m_store;
+    typename Platform::Worker m_worker;
+    WorkerSupervisor m_supervisor;
+    std::list<WaitingCall> m_waiting;
+    std::uint64_t m_incarnationSeen = 0;
+    TimerId m_timer;
+    TimePoint m_armedFor{};
+    TimePoint m_registerAfter{};
+    bool m_registered = false;
+    bool m_registering = false;
+    bool m_stopping = false;
+    HttpServer m_announcements;
+    HttpServer m_metrics;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/poolhost/PoolApi.h
@@ -0,0 +1,350 @@
+#pragma once
+
+#include "core/Log.h"
+#include "graph/GraphCodec.h"
+#include "poolhost/PoolMirror.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace banyanlock
+{
+
+/// Answers callers: submissions, cancellations, states and counts.
+///
+/// A submission is recorded under the condition that the configuration is the one that it was checked against, so a key or a queue that
+/// was taken away never lets one in. States and counts come from this entry's copy of the rows, and only while the copy is fresh.
+/// @tparam Platform Adapter of the platform.
+template <PoolPlatform Platform> class PoolApi
+{
+public:
+    /// Answers one call; called once.
+    using Responder = std::function<void(CallAnswer)>;
+
+    /// @param loop Event loop.
+    /// @param store Table service.
+    /// @param mirror Copy of the rows.
+    /// @param staleLimit Age of the operators' rows from which they are not believed any more.
+    /// @param counters Counters.
+    PoolApi(EventLoop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit, Counters &counters)
+        : m_loop(loop)
+        , m_store(store)
+        , m_mirror(mirror)
+        , m_staleLimit(staleLimit)
+        , m_counters(counters)
+    {
+    }
+
+    /// Handles a call.
+    /// @param call The call.
+    /// @param respond Answers it.
+    void handle(PoolCall call, const Responder &respond)
+    {
+        auto exchange = std::make_shared<Exchange>();
+        exchange->call = std::move(call);
+        exchange->receivedAt = EventLoop::now();
+        exchange->respond = respond;
+        begin(exchange);
+    }
+
+    /// @param now Current time.
+    /// @return Whether what operators have set is known freshly enough to answer calls.
+    bool isFresh(TimePoint now) const
+    {
+        return m_mirror.isLoaded() && now - m_mirror.operatorsProvenAt() < m_staleLimit - staleMargin;
+    }
+
+private:
+    static constexpr Duration staleMargin = fromMilliseconds(300); // a late timer and the way to the caller
+    static constexpr Duration defaultDeadline = fromMilliseconds(3000); // for callers that name none
+    static constexpr Duration answerMargin = fromMilliseconds(200); // the way back to the caller
+    static constexpr Duration settlePause = fromMilliseconds(150); // between two tries of a transaction with an unknown outcome
+    static constexpr Duration retryAfterOutage = fromMilliseconds(1000); // least that the header can say
+    static constexpr int mostConfigurationChanges = 5; // during one submission
+
+    struct Exchange {
+        PoolCall call;
+        TimePoint receivedAt{};
+        Responder respond;
+        std::string job;
+        std::string queue;
+        std::string workspace;
+        GraphRecord record;
+        bool maybeWritten = false; // an earlier try has an unknown outcome
+        int configurationChanges = 0;
+    };
+    using ExchangePointer = std::shared_ptr<Exchange>;
+
+    void answer(const ExchangePointer &exchange, CallAnswer answer)
+    {
+        Log::info("call_answered", {{"job", exchange->job},
+                                    {"kind", std::string(kindName(exchange->call.kind))},
+                                    {"outcome", std::string(outcomeName(answer.outcome))},
+                                    {"state", std::string(graphStateName(answer.state))},
+                                    {"reason", answer.reason},
+                                    {"queue", exchange->queue},
+                                    {"configuration", static_cast<std::int64_t>(m_mirror.operators().configuration.version)},
+                                    {"configuration_age_ms", toMilliseconds(EventLoop::now() - m_mirror.operatorsProvenAt())},
+                                    {"took_ms", toMilliseconds(EventLoop::now() - exchange->receivedAt)}});
+        exchange->respond(std::move(answer));
+    }
+
+    void refuse(const ExchangePointer &exchange, CallOutcome outcome, const std::string &reason, Counter counter)
+    {
+        m_counters.add(counter);
+        CallAnswer refusal;
+        refusal.outcome = outcome;
+        refusal.reason = reason;
+        refusal.retryAfter = retryAfterOutage;
+        answer(exchange, std::move(refusal));
+    }
+
+    static const char *kindName(CallKind kind)
+    {
+        static constexpr std::array<const char *, 4> names{"submit", "state", "cancel", "pending"};
+        return names[static_cast<std::size_t>(kind)];
+    }
+
+    static const char *outcomeName(CallOutcome outcome)
+    {
+        static constexpr std::array<const char *, 9> names{"accepted",  "answered",  "no_such_job",       "no_such_queue", "key_refused",
+                                                           "malformed", "not_ready", "store_unavailable", "unsettled"};
+        return names[static_cast<std::size_t>(outcome)];
+    }
+
+    void begin(const ExchangePointer &exchange)
+    {
+        if (!isFresh(EventLoop::now())) {
+            refuse(exchange, CallOutcome::NotReady, "configuration is not known freshly enough", Counter::PoolRefusedStale);
+            return;
+        }
+        const PoolConfiguration &configuration = m_mirror.operators().configuration;
+        const PoolQueue *queue = configuration.findQueue(exchange->call.host, exchange->call.path);
+        if (queue == nullptr) {
+            refuse(exchange, CallOutcome::NoSuchQueue, "no queue has this host and path", Counter::PoolRefusedQueue);
+            return;
+        }
+        const PoolWorkspace *workspace = exchange->call.key ? configuration.findWorkspaceOfKey(*exchange->call.key) : nullptr;
+        if (workspace == nullptr && !queue->open) {
+            refuse(exchange, CallOutcome::KeyRefused, "key is missing or unknown", Counter::PoolRefusedKey);
+            return;
+        }
+        exchange->queue = queue->name;
+        exchange->workspace = workspace == nullptr ? "" : workspace->name;
+        exchange->job = exchange->call.path.substr(queue->pathPrefix.size());
+        switch (exchange->call.kind) {
+        case CallKind::Submit:
+            submit(exchange, *queue);
+            return;
+        case CallKind::State:
+        case CallKind::Pending:
+            if (exchange->job.empty()) {
+                CallAnswer count;
+                count.outcome = CallOutcome::Answered;
+                count.pending = m_mirror.jobs().pendingIn(queue->name);
+                answer(exchange, std::move(count));
+            } else {
+                lookUp(exchange);
+            }
+            return;
+        case CallKind::Cancel:
+            lookUp(exchange);
+            return;
+        }
+    }
+
+    // Submission
+
+    void submit(const ExchangePointer &exchange, const PoolQueue &queue)
+    {
+        if (m_mirror.jobs().find(exchange->job) != nullptr) {
+            m_counters.add(Counter::PoolJobsRepeated);
+            accept(exchange);
+            return;
+        }
+        Result<GraphSpec> spec = Platform::decodeSubmission(exchange->call.body);
+        std::string fault = isOk(spec) ? checkGraphSpec(valueOf(spec)) : errorOf(spec).detail;
+        if (fault.empty() && !isJobId(exchange->job)) {
+            fault = "job id must be 1 to 64 letters and digits";
+        }
+        if (!fault.empty()) {
+            refuse(exchange, CallOutcome::Malformed, fault, Counter::PoolRefusedMalformed);
+            return;
+        }
+        GraphRecord &record = exchange->record;
+        record.id = exchange->job;
+        record.spec = std::move(valueOf(spec));
+        record.terms = {queue.name,     exchange->workspace, queue.service,      queue.priority,
+                        queue.attemptLimit, queue.slackFactor,   queue.targetLatency};
+        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+        record.acceptedUnixMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+        write(exchange);
+    }
+
+    static bool isJobId(const std::string &id)
+    {
+        constexpr std::size_t longest = 64;
+        return !id.empty() && id.size() <= longest && std::ranges::all_of(id, [](unsigned char character) {
+            return std::isalnum(character) != 0;
+        });
+    }
+
+    void write(const ExchangePointer &exchange)
+    {
+        const std::string table(PoolRows::table);
+        const std::string specKey = PoolRows::keyOf(PoolRows::specPrefix, exchange->job);
+        const std::string progressKey = PoolRows::keyOf(PoolRows::progressPrefix, exchange->job);
+        const OperatorRows operatorRows = Platform::operatorRows();
+        TableTransaction transaction;
+        transaction.changeId = "submit/" + exchange->job;
+        transaction.checks = {{table, specKey, 0},
+                              {operatorRows.table, operatorRows.configurationKey, m_mirror.operators().configurationRowVersion}};
+        const std::string specText = encodeGraphSpec(exchange->record);
+        const std::string progressText = encodeGraphProgress(exchange->record.progress);
+        transaction.writes = {{table, specKey, specText}, {table, progressKey, progressText}};
+        m_store.commit(transaction, [this, exchange, table, specKey, progressKey, specText, progressText](const CommitResult &result) {
+            if (result.state == CommitState::Committed) {
+                m_mirror.adopt({{table, specKey, result.version, specText, false}, {table, progressKey, result.version, progressText, false}});
+                m_counters.add(Counter::PoolJobsAccepted);
+                accept(exchange);
+                return;
+            }
+            onNotWritten(exchange, result, specKey);
+        });
+    }
+
+    void onNotWritten(const ExchangePointer &exchange, const CommitResult &result, const std::string &specKey)
+    {
+        if (result.state == CommitState::Conflict) {
+            m_mirror.adopt(result.rows);
+            const bool exists = std::ranges::any_of(result.rows, [&](const TableRow &row) {
+                return row.key == specKey && !row.erased;
+            });
+            if (exists) {
+                m_counters.add(exchange->maybeWritten ? Counter::PoolJobsAccepted : Counter::PoolJobsRepeated);
+                accept(exchange);
+            } else if (++exchange->configurationChanges < mostConfigurationChanges) {
+                begin(exchange); // the configuration has changed meanwhile: check against the new one
+            } else {
+                refuse(exchange, CallOutcome::NotReady, "configuration changes too fast", Counter::PoolRefusedStale);
+            }
+            return;
+        }
+        retry(exchange, result, [this, exchange] {
+            write(exchange);
+        });
+    }
+
+    void accept(const ExchangePointer &exchange)
+    {
+        CallAnswer accepted;
+        accepted.outcome = CallOutcome::Accepted;
+        answer(exchange, std::move(accepted));
+    }
+
+    /// Tries a transaction again whose outcome is unknown, as long as the caller waits; refuses one that surely did nothing.
+    void retry(const ExchangePointer &exchange, const CommitResult &result, std::function<void()> again)
+    {
+        exchange->maybeWritten = exchange->maybeWritten || result.state == CommitState::Unknown;
+        if (!exchange->maybeWritten) {
+            refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
+            return;
+        }
+        const TimePoint now = EventLoop::now();
+        const TimePoint giveUp = exchange->receivedAt + exchange->call.deadline.value_or(defaultDeadline) - answerMargin;
+        if (now + settlePause >= giveUp) {
+            refuse(exchange, CallOutcome::Unsettled, "table service did not tell the outcome in time", Counter::PoolUnsettled);
+            return;
+        }
+        m_loop.timers().subscribe(now + settlePause, [again = std::move(again)](TimePoint) {
+            again();
+        });
+    }
+
+    // State and cancellation
+
+    void lookUp(const ExchangePointer &exchange)
+    {
+        if (const GraphRecord *job = m_mirror.jobs().find(exchange->job)) {
+            onFound(exchange, *job);
+            return;
+        }
+        // Another entry may have accepted it a moment ago.
+        const std::string table(PoolRows::table);
+        m_store.read(table, PoolRows::keyOf(PoolRows::specPrefix, exchange->job), [this, exchange](const RowResult &spec) {
+            if (!spec.available) {
+                refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
+                return;
+            }
+            if (!spec.row) {
+                CallAnswer unknown;
+                unknown.outcome = CallOutcome::NoSuchJob;
+                answer(exchange, std::move(unknown));
+                return;
+            }
+            readProgress(exchange, *spec.row);
+        });
+    }
+
+    void readProgress(const ExchangePointer &exchange, const TableRow &spec)
+    {
+        const std::string key = PoolRows::keyOf(PoolRows::progressPrefix, exchange->job);
+        m_store.read(std::string(PoolRows::table), key, [this, exchange, spec](const RowResult &progress) {
+            if (!progress.available || !progress.row) {
+                refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
+                return;
+            }
+            m_mirror.adopt({spec, *progress.row});
+            const GraphRecord *job = m_mirror.jobs().find(exchange->job);
+            if (job == nullptr) {
+                refuse(exchange, CallOutcome::StoreUnavailable, "job's rows can't be read", Counter::PoolRefusedStore);
+                return;
+            }
+            onFound(exchange, *job);
+        });
+    }
+
+    void onFound(const ExchangePointer &exchange, const GraphRecord &job)
+    {
+        if (exchange->call.kind == CallKind::Cancel && !hasEnded(job.state())) {
+            cancel(exchange);
+            return;
+        }
+        CallAnswer state;
+        state.outcome = exchange->call.kind == CallKind::Cancel ? CallOutcome::Accepted : CallOutcome::Answered;
+        state.state = job.state();
+        answer(exchange, std::move(state));
+    }
+
+    void cancel(const ExchangePointer &exchange)
+    {
+        const std::string table(PoolRows::table);
+        const std::string key = PoolRows::keyOf(PoolRows::cancelPrefix, exchange->job);
+        TableTransaction transaction;
+        transaction.changeId = "cancel/" + exchange->job;
+        transaction.writes = {{table, key, "{}"}};
+        m_store.commit(transaction, [this, exchange, table, key](const CommitResult &result) {
+            if (result.state == CommitState::Committed) {
+                m_mirror.adopt({{table, key, result.version, "{}", false}});
+                m_counters.add(Counter::PoolCancelsAccepted);
+                accept(exchange);
+                return;
+            }
+            retry(exchange, result, [this, exchange] {
+                cancel(exchange);
+            });
+        });
+    }
+
+    EventLoop &m_loop;
+    typename Platform::Store &m_store;
+    PoolMirror<Platform> &m_mirror;
+    Duration m_staleLimit;
+    Counters &m_counters;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -0,0 +1,233 @@
+#pragma once
+
+#include "core/Endpoint.h"
+#include "core/Incarnation.h"
+#include "poolhost/PoolApi.h"
+#include "poolhost/PoolOwner.h"
+#include "poolhost/PoolSettings.h"
+#include "rpc/RpcNode.h"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <utility>
+
+namespace banyanlock
+{
+
+/// @return Time of day, in milliseconds since 1970.
+inline std::int64_t unixMillisecondsNow()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
+/// One entry of a pool: callers' interface, and the scheduler while this entry owns the pool.
+/// @tparam Platform Adapter of the platform.
+template <PoolPlatform Platform> class PoolEntryDaemon
+{
+public:
+    /// @param settings Checked settings.
+    explicit PoolEntryDaemon(PoolEntrySettings settings)
+        : m_settings(std::move(settings))
+        , m_http(connectionsPerHost)
+        , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
+        , m_mirror(m_store, m_loop, m_counters)
+        , m_scheduler(m_mirror.jobs(), m_mirror.operators(), Platform::operatorRows(), makeTimes(m_settings), makePolicy(m_settings),
+                      m_counters)
+        , m_owner(m_settings.name, makeIncarnation(), m_loop, m_store, m_mirror, m_scheduler, m_counters)
+        , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters)
+        , m_callers(m_loop, HttpServerLimits(), m_counters,
+                    [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+                        serveCaller(request, respond);
+                    })
+        , m_balancer(m_loop, HttpServerLimits(), m_counters,
+                     [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+                         serveBalancer(request, respond);
+                     })
+        , m_metrics(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
+            ServerResponse response;
+            response.contentType = "text/plain; version=0.0.4";
+            response.body = std::make_shared<const std::string>(m_counters.toPrometheus());
+            respond(std::move(response));
+        })
+    {
+    }
+
+    /// Runs until a graceful shutdown has ended.
+    /// @return Done, or why it could not start.
+    Result<Done> run()
+    {
+        m_loop.setFlush([this] {
+            flush();
+        });
+        for (const auto &[server, address] : {std::pair(&m_callers, m_settings.callerAddress), std::pair(&m_balancer, m_settings.readyAddress),
+                                              std::pair(&m_metrics, m_settings.metricsAddress)}) {
+            if (address.empty()) {
+                continue;
+            }
+            Result<Done> listening = server->listen(*Endpoint::parse(address));
+            if (!isOk(listening)) {
+                return listening;
+            }
+        }
+        Log::info("entry_started", {{"callers", m_settings.callerAddress}, {"failure_domain", m_settings.failureDomain}});
+        m_mirror.setListener([this] {
+            m_owner.onRows(EventLoop::now());
+        });
+        m_mirror.start();
+        m_owner.start();
+        m_loop.repeat(stepInterval, [this](TimePoint) {
+            m_scheduler.onRows();
+        });
+        m_loop.onShutdown([this] {
+            shutDown();
+        });
+        m_loop.run();
+        Log::info("entry_stopped");
+        return Done();
+    }
+
+private:
+    static constexpr long connectionsPerHost = 32; // a few followed tables beside callers' transactions
+    static constexpr Duration stepInterval = fromMilliseconds(200); // silence and due times are noticed this late
+    static constexpr Duration idleCheck = fromMilliseconds(100); // the pause between two looks whether everything is answered
+
+    static PoolTimes makeTimes(const PoolEntrySettings &settings)
+    {
+        PoolTimes times;
+        times.lease = fromMilliseconds(settings.leaseMilliseconds);
+        constexpr std::int64_t slowClockShare = 50; // clocks are up to 2 % slow
+        constexpr Duration timerSlack = fromMilliseconds(200);
+        times.leaseSlack = times.lease / slowClockShare + timerSlack;
+        return times;
+    }
+
+    static PlannerPolicy makePolicy(const PoolEntrySettings &settings)
+    {
+        PlannerPolicy policy;
+        policy.remoteFactor = static_cast<double>(settings.remoteFactor);
+        return policy;
+    }
+
+    void serveCaller(const ServerRequest &request, const HttpServer::Responder &respond)
+    {
+        std::optional<PoolCall> call = Platform::decodeCall(request);
+        if (!call) {
+            ServerResponse response;
+            response.status = methodNotAllowed;
+            respond(std::move(response));
+            return;
+        }
+        ++m_openCalls;
+        m_api.handle(*call, [this, call = *call, respond](const CallAnswer &answer) {
+            --m_openCalls;
+            respond(Platform::encodeAnswer(call, answer));
+        });
+    }
+
+    void serveBalancer(const ServerRequest &request, const HttpServer::Responder &respond)
+    {
+        ServerResponse response;
+        const bool ready = !m_stopping && m_api.isFresh(EventLoop::now()) && isStoreNear();
+        response.status = !Platform::isReadyQuestion(request) ? notFound : ready ? ok : unavailable;
+        if (ready != m_ready) {
+            m_ready = ready;
+            Log::info(ready ? "ready" : "not_ready",
+                      {{"configuration_age_ms", toMilliseconds(EventLoop::now() - m_mirror.operatorsProvenAt())},
+                       {"stopping", std::string(m_stopping ? "yes" : "no")}});
+        }
+        respond(std::move(response));
+    }
+
+    /// Callers are better served by an entry that reaches the table service.
+    bool isStoreNear() const
+    {
+        constexpr Duration nearEnough = fromMilliseconds(2500); // a follow waits a second, and one may be lost
+        return EventLoop::now() - m_mirror.poolProvenAt() < nearEnough;
+    }
+
+    void flush()
+    {
+        const TimePoint now = EventLoop::now();
+        m_owner.onRows(now);
+        if (m_mirror.takeChanged()) {
+            m_scheduler.onRows();
+        }
+        if (m_scheduler.isOwned()) {
+            for (const std::string &agent : m_mirror.agents()) {
+                m_scheduler.addAgent(agent);
+            }
+        }
+        m_scheduler.allowRenewals(m_owner.mayRenew(now));
+        if (m_scheduler.isStepDue()) {
+            m_scheduler.step(now, unixMillisecondsNow());
+        }
+        m_owner.flush(now);
+        for (CallAgent &call : m_scheduler.takeCalls()) {
+            send(std::move(call), now);
+        }
+    }
+
+    void send(CallAgent call, TimePoint now)
+    {
+        const std::string agent = call.agent;
+        const std::uint64_t number = call.call;
+        m_rpc.supervise(agent, std::move(call.request), call.timeout, [this, agent, number, now](RpcResult<WorkerStatus> result) {
+            m_loop.post([this, agent, number, now, result = std::move(result)] {
+                m_scheduler.onAnswer(agent, number, std::get_if<WorkerStatus>(&result), now, EventLoop::now());
+            });
+        });
+    }
+
+    void shutDown()
+    {
+        Log::info("entry_draining");
+        m_stopping = true;
+        m_owner.drain();
+        m_callers.closeAfterAnswers();
+        // The balancer needs two looks to notice; callers' connections are served until shortly before the kill.
+        constexpr Duration reserve = fromMilliseconds(1500);
+        const TimePoint end = EventLoop::now() + fromMilliseconds(m_settings.stopMilliseconds) - reserve;
+        m_loop.timers().subscribe(end, [this](TimePoint) {
+            m_callers.stopListening();
+            stopWhenIdle();
+        });
+    }
+
+    void stopWhenIdle()
+    {
+        if (m_openCalls == 0 && m_owner.isDrained()) {
+            m_loop.timers().subscribe(EventLoop::now() + idleCheck, [this](TimePoint) {
+                m_loop.stop();
+            });
+            return;
+        }
+        m_loop.timers().subscribe(EventLoop::now() + idleCheck, [this](TimePoint) {
+            stopWhenIdle();
+        });
+    }
+
+    static constexpr int ok = 200;
+    static constexpr int notFound = 404;
+    static constexpr int methodNotAllowed = 405;
+    static constexpr int unavailable = 503;
+
+    PoolEntrySettings m_settings;
+    Counters m_counters;
+    EventLoop m_loop;
+    HttpClient m_http;
+    RpcNode m_rpc;
+    typename Platform::Store m_store;
+    PoolMirror<Platform> m_mirror;
+    PoolScheduler m_scheduler;
+    PoolOwner<Platform> m_owner;
+    PoolApi<Platform> m_api;
+    std::size_t m_openCalls = 0;
+    bool m_stopping = false;
+    bool m_ready = false;
+    HttpServer m_callers;
+    HttpServer m_balancer;
+    HttpServer m_metrics;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/poolhost/PoolMirror.h
@@ -0,0 +1,322 @@
+#pragma once
+
+#include "core/Log.h"
+#include "pool/GraphTable.h"
+#include "pool/OwnerRow.h"
+#include "pool/PoolScheduler.h"
+#include "poolhost/PoolPlatform.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+#include <utility>
+
+namespace banyanlock
+{
+
+/// This entry's copy of the pool's rows and of the operators' rows, kept up to date by following both tables.
+/// @tparam Platform Adapter of the platform.
+template <PoolPlatform Platform> class PoolMirror
+{
+public:
+    /// @param store Table service.
+    /// @param loop Event loop.
+    /// @param counters Counters.
+    PoolMirror(typename Platform::Store &store, EventLoop &loop, Counters &counters)
+        : m_store(store)
+        , m_loop(loop)
+        , m_counters(counters)
+        , m_operatorRows(Platform::operatorRows())
+    {
+        m_pool.table = PoolRows::table;
+        m_operator.table = m_operatorRows.table;
+    }
+
+    /// Starts to read and to follow.
+    void start()
+    {
+        readTable(m_pool);
+        readTable(m_operator);
+    }
+
+    /// @return All jobs.
+    GraphTable &jobs()
+    {
+        return m_jobs;
+    }
+
+    /// @return What operators have set.
+    const OperatorView &operators() const
+    {
+        return m_operators;
+    }
+
+    /// @return Addresses of the agents that ever registered and were not erased.
+    const std::set<std::string> &agents() const
+    {
+        return m_agents;
+    }
+
+    /// @return Owner's row.
+    const OwnerRow &owner() const
+    {
+        return m_owner;
+    }
+
+    /// @return Version of the owner's row; zero if there is none.
+    std::uint64_t ownerVersion() const
+    {
+        return m_ownerVersion;
+    }
+
+    /// @return When the owner's row was last seen to change, or contact with the table service was made again.
+    TimePoint ownerSeenAt() const
+    {
+        return m_ownerSeenAt;
+    }
+
+    /// @return Whether both tables have been read.
+    bool isLoaded() const
+    {
+        return m_pool.loaded && m_operator.loaded && m_operators.configuration.version != 0;
+    }
+
+    /// @return Time at which the operators' rows were surely as they are known here.
+    TimePoint operatorsProvenAt() const
+    {
+        return m_operator.provenAt;
+    }
+
+    /// @return Time at which the pool's rows were surely as they are known here.
+    TimePoint poolProvenAt() const
+    {
+        return m_pool.provenAt;
+    }
+
+    /// Sets whether this entry is the one that writes progress.
+    /// @param owns Whether it is.
+    void setOwnsProgress(bool owns)
+    {
+        if (m_ownsProgress && !owns) {
+            // Memory may be ahead of the rows: only the rows count from now on.
+            m_ownsProgress = false;
+            m_jobs.clear();
+            m_pool.loaded = false;
+            ++m_pool.generation;
+            readTable(m_pool);
+            return;
+        }
+        m_ownsProgress = owns;
+    }
+
+    /// Sets what is called after each change.
+    /// @param listener Listener.
+    void setListener(std::function<void()> listener)
+    {
+        m_listener = std::move(listener);
+    }
+
+    /// @return Whether rows were taken in since the last call.
+    bool takeChanged()
+    {
+        return std::exchange(m_changed, false);
+    }
+
+    /// Takes in rows that were read by other means.
+    /// @param rows The rows.
+    void adopt(const std::vector<TableRow> &rows)
+    {
+        m_changed = m_changed || !rows.empty();
+        for (const TableRow &row : rows) {
+            adoptRow(row);
+        }
+    }
+
+private:
+    static constexpr Duration waitForChange = fromMilliseconds(1000); // a third of the time in which a new configuration must be in force
+    static constexpr Duration retryPause = fromMilliseconds(200); // five tries a second while the table service is away
+
+    struct Followed {
+        std::string table;
+        std::uint64_t version = 0;
+        std::uint64_t generation = 0; // answers of an earlier one are dropped
+        bool loaded = false;
+        bool available = true;
+        TimePoint provenAt{};
+    };
+
+    void noteAvailability(Followed &followed, bool available)
+    {
+        if (followed.available == available) {
+            return;
+        }
+        followed.available = available;
+        if (available) {
+            Log::info("store_regained", {{"table", followed.table}, {"away_ms", toMilliseconds(EventLoop::now() - followed.provenAt)}});
+            if (&followed == &m_pool) {
+                m_ownerSeenAt = EventLoop::now(); // nothing was seen meanwhile, so silence of the owner proves nothing
+            }
+        } else {
+            Log::warning("store_lost", {{"table", followed.table}});
+            m_counters.add(Counter::StoreFailures);
+        }
+    }
+
+    void later(Followed &followed, void (PoolMirror::*step)(Followed &))
+    {
+        const std::uint64_t generation = followed.generation;
+        m_loop.timers().subscribe(EventLoop::now() + retryPause, [this, &followed, step, generation](TimePoint) {
+            if (generation == followed.generation) {
+                (this->*step)(followed);
+            }
+        });
+    }
+
+    void readTable(Followed &followed)
+    {
+        const TimePoint sentAt = EventLoop::now();
+        const std::uint64_t generation = followed.generation;
+        m_store.readTable(followed.table, [this, &followed, sentAt, generation](const ScanResult &result) {
+            if (generation != followed.generation) {
+                return;
+            }
+            if (!result.available) {
+                noteAvailability(followed, false);
+                later(followed, &PoolMirror::readTable);
+                return;
+            }
+            noteAvailability(followed, true);
+            if (&followed == &m_operator) {
+                m_operators.outDomains.clear(); // rows that are gone are not listed
+            }
+            adopt(result.rows);
+            followed.version = result.version;
+            followed.loaded = true;
+            followed.provenAt = sentAt;
+            Log::info("table_read", {{"table", followed.table},
+                                     {"rows", static_cast<std::int64_t>(result.rows.size())},
+                                     {"version", static_cast<std::int64_t>(result.version)}});
+            tell();
+            follow(followed);
+        });
+    }
+
+    void follow(Followed &followed)
+    {
+        const TimePoint sentAt = EventLoop::now();
+        const std::uint64_t generation = followed.generation;
+        m_store.follow(followed.table, followed.version, waitForChange, [this, &followed, sentAt, generation](const FollowResult &result) {
+            if (generation != followed.generation) {
+                return;
+            }
+            if (result.state == FollowState::Unavailable) {
+                noteAvailability(followed, false);
+                later(followed, &PoolMirror::follow);
+                return;
+            }
+            noteAvailability(followed, true);
+            if (result.state == FollowState::HistoryLost) {
+                Log::warning("history_lost", {{"table", followed.table}, {"version", static_cast<std::int64_t>(followed.version)}});
+                ++followed.generation;
+                readTable(followed);
+                return;
+            }
+            adopt(result.rows);
+            followed.version = std::max(followed.version, result.version);
+            followed.provenAt = sentAt;
+            tell();
+            follow(followed);
+        });
+    }
+
+    void tell()
+    {
+        if (m_listener) {
+            m_listener();
+        }
+    }
+
+    void adoptRow(const TableRow &row)
+    {
+        if (row.table == m_operatorRows.table) {
+            adoptOperatorRow(row);
+        } else if (row.key == PoolRows::ownerKey) {
+            adoptOwner(row);
+        } else if (const auto agent = PoolRows::nameIn(row.key, PoolRows::workerPrefix)) {
+            if (row.erased) {
+                m_agents.erase(*agent);
+            } else {
+                m_agents.insert(*agent);
+            }
+        } else {
+            m_jobs.adopt(row, m_ownsProgress);
+        }
+    }
+
+    void adoptOwner(const TableRow &row)
+    {
+        if (row.version <= m_ownerVersion) {
+            return;
+        }
+        const std::optional<OwnerRow> owner = decodeOwnerRow(row.value);
+        if (!owner) {
+            Log::warning("owner_row_unreadable", {{"version", static_cast<std::int64_t>(row.version)}});
+            return;
+        }
+        if (owner->epoch != m_owner.epoch) {
+            Log::info("owner_changed", {{"owner", owner->owner}, {"epoch", static_cast<std::int64_t>(owner->epoch)}});
+        }
+        m_owner = *owner;
+        m_ownerVersion = row.version;
+        m_ownerSeenAt = EventLoop::now();
+    }
+
+    void adoptOperatorRow(const TableRow &row)
+    {
+        OperatorChange change = Platform::decodeOperatorRow(row);
+        if (PoolConfiguration *configuration = std::get_if<PoolConfiguration>(&change)) {
+            if (row.version <= m_operators.configurationRowVersion || configuration->version < m_operators.configuration.version) {
+                m_counters.add(Counter::ConfigurationStaleIgnored);
+                return;
+            }
+            m_counters.add(Counter::ConfigurationAdopted);
+            m_operators.configuration = std::move(*configuration);
+            m_operators.configurationRowVersion = row.version;
+            Log::info("configuration_adopted", {{"version", static_cast<std::int64_t>(m_operators.configuration.version)},
+                                                {"queues", static_cast<std::int64_t>(m_operators.configuration.queues.size())},
+                                                {"row", static_cast<std::int64_t>(row.version)}});
+        } else if (const DomainChange *domain = std::get_if<DomainChange>(&change)) {
+            const bool isOut = m_operators.outDomains.contains(domain->failureDomain);
+            if (domain->out == isOut) {
+                return;
+            }
+            if (domain->out) {
+                m_operators.outDomains.insert(domain->failureDomain);
+            } else {
+                m_operators.outDomains.erase(domain->failureDomain);
+            }
+            Log::info("failure_domain_changed", {{"failure_domain", domain->failureDomain}, {"out", std::string(domain->out ? "yes" : "no")}});
+        } else if (const IgnoredRow *ignored = std::get_if<IgnoredRow>(&change); ignored != nullptr && !ignored->reason.empty()) {
+            Log::warning("operator_row_ignored", {{"row", row.key}, {"reason", ignored->reason}});
+        }
+    }
+
+    typename Platform::Store &m_store;
+    EventLoop &m_loop;
+    Counters &m_counters;
+    OperatorRows m_operatorRows;
+    GraphTable m_jobs;
+    OperatorView m_operators;
+    std::set<std::string> m_agents;
+    OwnerRow m_owner;
+    std::uint64_t m_ownerVersion = 0;
+    TimePoint m_ownerSeenAt{};
+    Followed m_pool;
+    Followed m_operator;
+    bool m_ownsProgress = false;
+    bool m_changed = false;
+    std::function<void()> m_listener;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/src/poolhost/PoolOwner.h
@@ -0,0 +1,279 @@
+#pragma once
+
+#include "core/Log.h"
+#include "poolhost/PoolMirror.h"
+
+#include <algorithm>
+#include <functional>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace banyanlock
+{
+
+/// Times of the pool's ownership.
+struct OwnershipTimes {
+    Duration renewal = fromMilliseconds(1000); ///< Longest time between two transactions of the owner.
+    Duration takeAfter = fromMilliseconds(3000); ///< Time without one after which another entry takes the pool; bears two lost ones.
+    Duration stagger = fromMilliseconds(150); ///< Spread of the entries' tries, so that mostly one of them writes.
+    Duration retry = fromMilliseconds(200); ///< Pause after a transaction that did not go through.
+    Duration check = fromMilliseconds(250); ///< Time between two looks at the owner's row.
+};
+
+/// Takes and gives up the pool, and writes the owner's transactions: one at a time, each checking and rewriting the owner's row.
+///
+/// A transaction whose answer is lost is sent again unchanged. If it had taken effect, the owner's row now shows its number; if it takes
+/// effect late, the row's version has moved on and it is refused.
+/// @tparam Platform Adapter of the platform.
+template <PoolPlatform Platform> class PoolOwner
+{
+public:
+    /// @param name Name of this entry.
+    /// @param incarnation Process of this entry.
+    /// @param loop Event loop.
+    /// @param store Table service.
+    /// @param mirror Copy of the rows.
+    /// @param scheduler Scheduler of the pool.
+    /// @param counters Counters.
+    PoolOwner(std::string name, std::uint64_t incarnation, EventLoop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror,
+              PoolScheduler &scheduler, Counters &counters)
+        : m_name(std::move(name))
+        , m_incarnation(incarnation)
+        , m_loop(loop)
+        , m_store(store)
+        , m_mirror(mirror)
+        , m_scheduler(scheduler)
+        , m_counters(counters)
+    {
+        // Entries differ in when they try, by a number that their names give.
+        m_staggered = m_times.stagger * static_cast<std::int64_t>(std::hash<std::string>()(m_name) % staggerSteps);
+    }
+
+    /// Starts to look after the owner's row.
+    void start()
+    {
+        m_loop.repeat(m_times.check, [this](TimePoint now) {
+            look(now);
+        });
+    }
+
+    /// Takes in that rows have been read.
+    /// @param now Current time.
+    void onRows(TimePoint now)
+    {
+        const OwnerRow &row = m_mirror.owner();
+        const bool mine = isMine(row);
+        if (m_scheduler.isOwned() && !mine) {
+            lose("another entry owns the row");
+        } else if (!m_scheduler.isOwned() && mine && row.epoch == m_takenEpoch && !m_drainRequested) {
+            // The row has come back with everything that was written before it.
+            m_scheduler.own(row.epoch, now);
+            m_mirror.setOwnsProgress(true);
+            m_lastWrite = now;
+            m_counters.add(Counter::PoolOwnershipTaken);
+            Log::info("ownership_taken", {{"epoch", static_cast<std::int64_t>(row.epoch)}});
+        }
+    }
+
+    /// Writes what is due.
+    /// @param now Current time.
+    void flush(TimePoint now)
+    {
+        if (!m_scheduler.isOwned() || m_sent || now < m_retryAt) {
+            return;
+        }
+        if (m_pendingTransaction) {
+            send(now);
+            return;
+        }
+        std::optional<PoolBatch> batch = m_scheduler.takeBatch();
+        const bool release = m_drainRequested && !batch;
+        if (!batch && !release && now - m_lastWrite < m_times.renewal) {
+            return;
+        }
+        m_carriesBatch = batch.has_value();
+        PoolBatch content = batch ? std::move(*batch) : PoolBatch();
+        OwnerRow row = m_mirror.owner();
+        ++row.beat;
+        if (release) {
+            row.owner.clear();
+        }
+        m_writtenRow = row;
+        TableTransaction transaction;
+        transaction.changeId = m_name + "/" + std::to_string(row.epoch) + "/" + std::to_string(row.beat);
+        transaction.checks = std::move(content.checks);
+        transaction.checks.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), m_mirror.ownerVersion()});
+        transaction.writes = std::move(content.writes);
+        transaction.writes.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), encodeOwnerRow(row)});
+        m_pendingTransaction = std::move(transaction);
+        send(now);
+    }
+
+    /// @param now Current time.
+    /// @return Whether the owner has reached the table service lately enough to renew leases.
+    bool mayRenew(TimePoint now) const
+    {
+        return now - m_lastWrite < PoolTimes().detached;
+    }
+
+    /// Gives the pool up and takes it no more.
+    void drain()
+    {
+        m_drainRequested = true;
+    }
+
+    /// @return Whether nothing is owned or under way.
+    bool isDrained() const
+    {
+        return !m_scheduler.isOwned() && !m_sent;
+    }
+
+private:
+    static constexpr std::size_t staggerSteps = 5;
+
+    bool isMine(const OwnerRow &row) const
+    {
+        return row.owner == m_name && row.incarnation == m_incarnation;
+    }
+
+    void lose(const char *reason)
+    {
+        Log::warning("ownership_lost", {{"reason", std::string(reason)}});
+        m_counters.add(Counter::PoolOwnershipLost);
+        m_scheduler.disown();
+        m_mirror.setOwnsProgress(false);
+        m_pendingTransaction.reset();
+    }
+
+    void look(TimePoint now)
+    {
+        if (m_scheduler.isOwned() || m_drainRequested || m_sent || !m_mirror.isLoaded() || now < m_retryAt) {
+            return;
+        }
+        const OwnerRow &row = m_mirror.owner();
+        if (isMine(row) && row.epoch == m_takenEpoch) {
+            return;
+        }
+        constexpr Duration freshEnough = fromMilliseconds(1500); // a follow waits a second at most
+        if (now - m_mirror.poolProvenAt() > freshEnough) {
+            return;
+        }
+        const bool vacant = row.owner.empty();
+        const Duration silence = now - m_mirror.ownerSeenAt();
+        if (silence < (vacant ? Duration::zero() : m_times.takeAfter) + m_staggered) {
+            return;
+        }
+        take(row, now, silence);
+    }
+
+    void take(const OwnerRow &row, TimePoint now, Duration silence)
+    {
+        const OwnerRow next{m_name, m_incarnation, row.epoch + 1, 0};
+        Log::info("ownership_try", {{"epoch", static_cast<std::int64_t>(next.epoch)},
+                                    {"earlier_owner", row.owner},
+                                    {"silent_ms", toMilliseconds(silence)}});
+        TableTransaction transaction;
+        transaction.changeId = m_name + "/take/" + std::to_string(next.epoch);
+        transaction.checks.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), m_mirror.ownerVersion()});
+        transaction.writes.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), encodeOwnerRow(next)});
+        m_sent = true;
+        m_takenEpoch = next.epoch;
+        m_retryAt = now + m_times.retry;
+        m_store.commit(transaction, [this](const CommitResult &result) {
+            m_sent = false;
+            // Whatever the answer, the followed row decides.
+            m_mirror.adopt(result.rows);
+        });
+    }
+
+    void send(TimePoint now)
+    {
+        m_sent = true;
+        m_store.commit(*m_pendingTransaction, [this, sentAt = now](const CommitResult &result) {
+            m_sent = false;
+            onResult(result, sentAt);
+        });
+    }
+
+    void onResult(const CommitResult &result, TimePoint sentAt)
+    {
+        if (!m_scheduler.isOwned() || !m_pendingTransaction) {
+            return;
+        }
+        const TimePoint now = EventLoop::now();
+        switch (result.state) {
+        case CommitState::Committed:
+            finish(result.version, sentAt, now);
+            return;
+        case CommitState::Conflict:
+            onConflict(result, sentAt, now);
+            return;
+        case CommitState::NotSent:
+        case CommitState::Unknown:
+            m_retryAt = now + m_times.retry;
+            return;
+        }
+    }
+
+    void finish(std::uint64_t version, TimePoint sentAt, TimePoint now)
+    {
+        m_mirror.adopt({{std::string(PoolRows::table), std::string(PoolRows::ownerKey), version, encodeOwnerRow(m_writtenRow), false}});
+        m_pendingTransaction.reset();
+        m_lastWrite = sentAt;
+        if (m_writtenRow.owner.empty()) {
+            Log::info("ownership_given_up", {{"epoch", static_cast<std::int64_t>(m_writtenRow.epoch)}});
+            m_scheduler.disown();
+            m_mirror.setOwnsProgress(false);
+            return;
+        }
+        if (m_carriesBatch) {
+            m_scheduler.onCommitted(now);
+        }
+    }
+
+    void onConflict(const CommitResult &result, TimePoint sentAt, TimePoint now)
+    {
+        const auto found = std::ranges::find(result.rows, std::string(PoolRows::ownerKey), &TableRow::key);
+        if (found == result.rows.end()) {
+            lose("the owner's row is gone");
+            return;
+        }
+        const std::optional<OwnerRow> present = decodeOwnerRow(found->value);
+        if (present && *present == m_writtenRow) {
+            m_mirror.adopt(result.rows);
+            finish(found->version, sentAt, now); // an earlier try had taken effect
+            return;
+        }
+        m_mirror.adopt(result.rows);
+        if (!present || present->epoch != m_writtenRow.epoch || !isMine(*present)) {
+            lose("another entry has taken the row");
+            return;
+        }
+        m_counters.add(Counter::StoreConflicts);
+        m_pendingTransaction.reset();
+        if (m_carriesBatch) {
+            m_scheduler.onConflict();
+        }
+    }
+
+    std::string m_name;
+    std::uint64_t m_incarnation;
+    OwnershipTimes m_times;
+    EventLoop &m_loop;
+    typename Platform::Store &m_store;
+    PoolMirror<Platform> &m_mirror;
+    PoolScheduler &m_scheduler;
+    Counters &m_counters;
+    Duration m_staggered{};
+    std::optional<TableTransaction> m_pendingTransaction; // sent until its outcome is known
+    OwnerRow m_writtenRow;
+    bool m_carriesBatch = false;
+    bool m_sent = false;
+    bool m_drainRequested = false;
+    std::uint64_t m_takenEpoch = 0;
+    TimePoint m_lastWrite{};
+    TimePoint m_retryAt{};
+};
+
+} // namespace banyanlock
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -19,6 +19,9 @@
 /// @return Commands that run daemons and check settings.
 std::span<const Command> daemonCommands();
 
+/// @return Commands that run the daemons of a pool on the users' platform.
+std::span<const Command> poolCommands();
+
 /// @return Commands on contracts, failure domains and status.
 std::span<const Command> operatorCommands();
 
--- a/src/program/DaemonCommands.cpp
+++ b/src/program/DaemonCommands.cpp
@@ -1,7 +1,9 @@
 #include "agent/AgentDaemon.h"
 #include "core/Log.h"
 #include "entry/EntryDaemon.h"
+#include "poolhost/PoolSettings.h"
 #include "program/Commands.h"
+#include "program/DaemonSettings.h"
 
 #include <array>
 #include <csignal>
@@ -12,11 +14,6 @@
 namespace
 {
 
-void reportSettingsError(const Error &error)
-{
-    std::cerr << "banyanlock: error " << static_cast<int>(error.code) << " " << infoOf(error.code).name << ":\n" << error.detail << "\n";
-}
-
 Result<AnyRoutingPolicy> readPolicy(const EntrySettings &settings)
 {
     std::optional<AnyRoutingPolicy> policy = routingPolicyFromName(settings.routingPolicy);
@@ -26,39 +23,6 @@
     return *policy;
 }
 
-template <typename Settings>
-bool loadSettings(const CommandContext &context, std::span<const SettingKey<Settings>> keys, Settings &settings, ExitCode &exitCode)
-{
-    cxxopts::Options options = context.makeOptions("");
-    options.add_options()("settings", "Settings file in YAML", cxxopts::value<std::string>());
-    const Parsed parsed = context.parse(options, 0);
-    exitCode = parsed.exitCode;
-    if (parsed.done) {
-        return false;
-    }
-    exitCode = ExitCode::BadUsage;
-    if (parsed.result.count("settings") == 0) {
-        std::cerr << "banyanlock " << context.name << ": --settings is missing\n";
-        return false;
-    }
-    Result<Settings> read = readSettings(parsed.result["settings"].as<std::string>(), keys);
-    if (!isOk(read)) {
-        reportSettingsError(errorOf(read));
-        return false;
-    }
-    settings = std::move(valueOf(read));
-    return true;
-}
-
-ExitCode finishRun(const Result<Done> &result)
-{
-    if (!isOk(result)) {
-        reportSettingsError(errorOf(result));
-        return ExitCode::Failed;
-    }
-    return ExitCode::Done;
-}
-
 ExitCode runEntry(const CommandContext &context)
 {
     EntrySettings settings;
@@ -86,11 +50,11 @@
     return finishRun(AgentDaemon(settings).run());
 }
 
-/// An entry's settings file names an HTTP address, an agent's never does.
-bool isEntryDocument(const SettingsDocument &document)
+/// Each role's settings have an address that no other role's have.
+bool hasKey(const SettingsDocument &document, std::string_view key)
 {
-    return std::ranges::any_of(document.entries, [](const SettingsEntry &entry) {
-        return entry.key == "http_address";
+    return std::ranges::any_of(document.entries, [&](const SettingsEntry &entry) {
+        return entry.key == key;
     });
 }
 
@@ -108,10 +72,16 @@
         return ExitCode::BadUsage;
     }
     std::optional<Error> error;
-    if (isEntryDocument(valueOf(document))) {
+    if (hasKey(valueOf(document), "http_address")) {
         const Result<EntrySettings> settings = readSettings(path, entrySettingKeys());
         const Result<AnyRoutingPolicy> policy = isOk(settings) ? readPolicy(valueOf(settings)) : errorOf(settings);
         error = isOk(policy) ? std::nullopt : std::optional(errorOf(policy));
+    } else if (hasKey(valueOf(document), "caller_address")) {
+        const Result<PoolEntrySettings> settings = readSettings(path, poolEntrySettingKeys());
+        error = isOk(settings) ? std::nullopt : std::optional(errorOf(settings));
+    } else if (hasKey(valueOf(document), "announce_address")) {
+        const Result<PoolAgentSettings> settings = readSettings(path, poolAgentSettingKeys());
+        error = isOk(settings) ? std::nullopt : std::optional(errorOf(settings));
     } else {
         const Result<AgentSettings> settings = readSettings(path, agentSettingKeys());
         error = isOk(settings) ? std::nullopt : std::optional(errorOf(settings));
@@ -128,7 +98,9 @@
 {
     std::cout << "# Settings\n\nMade by `banyanlock settings document`. Unknown keys are refused.\n\n"
               << describeSettings("entry", entrySettingKeys()) << "\n"
-              << describeSettings("agent", agentSettingKeys());
+              << describeSettings("agent", agentSettingKeys()) << "\n"
+              << describeSettings("pool entry", poolEntrySettingKeys()) << "\n"
+              << describeSettings("pool agent", poolAgentSettingKeys());
     return ExitCode::Done;
 }
 
--- /dev/null
+++ b/src/program/DaemonSettings.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include "core/SettingKey.h"
+#include "program/CommandContext.h"
+#include "program/ExitCode.h"
+
+#include <iostream>
+#include <span>
+#include <string>
+
+namespace banyanlock
+{
+
+/// Tells people what is wrong with settings.
+/// @param error The error.
+inline void reportSettingsError(const Error &error)
+{
+    std::cerr << "banyanlock: error " << static_cast<int>(error.code) << " " << infoOf(error.code).name << ":\n" << error.detail << "\n";
+}
+
+/// Reads the settings that a daemon's command line names.
+/// @param context Command line.
+/// @param keys All keys of the role.
+/// @param settings Receives the settings.
+/// @param exitCode Receives the exit code when there is nothing to run.
+/// @return Whether the daemon shall run.
+template <typename Settings>
+bool loadSettings(const CommandContext &context, std::span<const SettingKey<Settings>> keys, Settings &settings, ExitCode &exitCode)
+{
+    cxxopts::Options options = context.makeOptions("");
+    options.add_options()("settings", "Settings file in YAML", cxxopts::value<std::string>());
+    const Parsed parsed = context.parse(options, 0);
+    exitCode = parsed.exitCode;
+    if (parsed.done) {
+        return false;
+    }
+    exitCode = ExitCode::BadUsage;
+    if (parsed.result.count("settings") == 0) {
+        std::cerr << "banyanlock " << context.name << ": --settings is missing\n";
+        return false;
+    }
+    Result<Settings> read = readSettings(parsed.result["settings"].as<std::string>(), keys);
+    if (!isOk(read)) {
+        reportSettingsError(errorOf(read));
+        return false;
+    }
+    settings = std::move(valueOf(read));
+    return true;
+}
+
+/// Makes the exit code of a daemon.
+/// @param result How its run ended.
+/// @return The exit code.
+inline ExitCode finishRun(const Result<Done> &result)
+{
+    if (!isOk(result)) {
+        reportSettingsError(errorOf(result));
+        return ExitCode::Failed;
+    }
+    return ExitCode::Done;
+}
+
+} // namespace banyanlock
--- a/src/program/OperatorClient.cpp
+++ b/src/program/OperatorClient.cpp
@@ -1,6 +1,6 @@
 #include "program/OperatorClient.h"
 
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 #include <iostream>
 #include <utility>
--- a/src/program/OperatorClient.h
+++ b/src/program/OperatorClient.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/Result.h"
-#include "platform/HttpMessage.h"
+#include "runtime/HttpMessage.h"
 #include "program/ExitCode.h"
 
 #include <nlohmann/json.hpp>
--- a/src/program/WorkCommands.cpp
+++ b/src/program/WorkCommands.cpp
@@ -1,4 +1,4 @@
-#include "platform/TableCodec.h"
+#include "store/TableCodec.h"
 #include "program/Commands.h"
 #include "program/OperatorClient.h"
 #include "program/ReplyPrinter.h"
--- a/src/rpc/RpcHandlers.h
+++ b/src/rpc/RpcHandlers.h
@@ -4,6 +4,7 @@
 #include "dispatch/AttemptReply.h"
 #include "dispatch/PeerHeartbeat.h"
 #include "dispatch/Revocation.h"
+#include "pool/WorkerStatus.h"
 
 #include <functional>
 
@@ -22,4 +23,9 @@
     std::function<void(PeerHeartbeat, std::function<void(PeerHeartbeat)>)> heartbeat; ///< Takes a peer's heartbeat.
 };
 
+/// Calls that the agent of a pool's worker serves. They run on the RPC thread; the reply function may be called from every thread.
+struct SupervisorHandlers {
+    std::function<void(SuperviseRequest, std::function<void(WorkerStatus)>)> supervise; ///< Takes a call of the pool's owner.
+};
+
 } // namespace banyanlock
--- a/src/rpc/RpcNode.cpp
+++ b/src/rpc/RpcNode.cpp
@@ -1,6 +1,7 @@
 #include "rpc/RpcNode.h"
 
 #include "rpc/RpcLoop.h"
+#include "rpc/SupervisionCodec.h"
 #include "rpc/WireCodec.h"
 
 #include <capnp/rpc-twoparty.h>
@@ -107,6 +108,30 @@
     EntryHandlers m_handlers;
 };
 
+class SupervisorServer final : public wire::SupervisorRpc::Server
+{
+public:
+    SupervisorServer(RpcLoop &loop, SupervisorHandlers handlers)
+        : m_loop(loop)
+        , m_handlers(std::move(handlers))
+    {
+    }
+
+    kj::Promise<void> supervise(SuperviseContext context) override
+    {
+        auto pair = kj::newPromiseAndFulfiller<WorkerStatus>();
+        m_handlers.supervise(decode(context.getParams().getRequest()), ReplySlot<WorkerStatus>(m_loop, kj::mv(pair.fulfiller)));
+        context.releaseParams();
+        return pair.promise.then([context](const WorkerStatus &status) mutable {
+            encode(status, context.getResults().initStatus());
+        });
+    }
+
+private:
+    RpcLoop &m_loop;
+    SupervisorHandlers m_handlers;
+};
+
 } // namespace
 
 /// State of the loop's thread.
@@ -167,9 +192,9 @@
                     callback(std::move(answer));
                 },
                 [this, callback, sent, connection, address](kj::Exception &&error) {
-                    if (error.getType() == kj::Exception::Type::DISCONNECTED || !*sent) {
-                        drop(address, connection);
-                    }
+                    // A connection may have gone silent without a reset: an answer that is late counts like a break.
+                    (void)error;
+                    drop(address, connection);
                     callback(*sent ? TransportFailure::Lost : TransportFailure::NotSent);
                 });
             tasks().add(kj::mv(finished));
@@ -273,6 +298,26 @@
     });
 }
 
+Result<Done> RpcNode::serveSupervisor(const Endpoint &endpoint, SupervisorHandlers handlers)
+{
+    RpcLoop &loop = m_impl->loop();
+    return m_impl->serve(endpoint, [&loop, handlers = std::move(handlers)]() -> capnp::Capability::Client {
+        return kj::heap<SupervisorServer>(loop, handlers);
+    });
+}
+
+void RpcNode::supervise(const std::string &address, SuperviseRequest request, Duration timeout,
+                        std::function<void(RpcResult<WorkerStatus>)> callback)
+{
+    m_impl->call<WorkerStatus>(address, timeout, std::move(callback), [request = std::move(request)](capnp::Capability::Client peer) {
+        auto message = peer.castAs<wire::SupervisorRpc>().superviseRequest();
+        encode(request, message.initRequest());
+        return message.send().then([](auto &&response) {
+            return decode(response.getStatus());
+        });
+    });
+}
+
 void RpcNode::forward(const std::string &address, AttemptMessage message, Duration timeout,
                       std::function<void(RpcResult<AttemptReply>)> callback)
 {
--- a/src/rpc/RpcNode.h
+++ b/src/rpc/RpcNode.h
@@ -45,6 +45,12 @@
     /// @return Done, or why listening failed.
     Result<Done> serveEntry(const Endpoint &endpoint, EntryHandlers handlers);
 
+    /// Serves the calls to the agent of a pool's worker.
+    /// @param endpoint Where to listen.
+    /// @param handlers What to call.
+    /// @return Done, or why listening failed.
+    Result<Done> serveSupervisor(const Endpoint &endpoint, SupervisorHandlers handlers);
+
     /// Sets what is called, on the RPC thread, when a connection to an address has ended; call before the first call is made.
     /// @param listener Called with the address.
     void setDisconnectListener(std::function<void(const std::string &)> listener);
@@ -81,6 +87,14 @@
     void heartbeat(const std::string &address, const PeerHeartbeat &heartbeat, Duration timeout,
                    std::function<void(RpcResult<PeerHeartbeat>)> callback);
 
+    /// Calls the agent of a pool's worker.
+    /// @param address RPC address of the agent.
+    /// @param request The call.
+    /// @param timeout Limit for the answer.
+    /// @param callback Called once with the status or the failure.
+    void supervise(const std::string &address, SuperviseRequest request, Duration timeout,
+                   std::function<void(RpcResult<WorkerStatus>)> callback);
+
 private:
     class Impl;
     std::unique_ptr<Impl> m_impl;
--- /dev/null
+++ b/src/rpc/SupervisionCodec.cpp
@@ -0,0 +1,193 @@
+#include "rpc/SupervisionCodec.h"
+
+namespace banyanlock
+{
+namespace
+{
+
+void encodeLife(const WorkerLife &life, wire::WorkerLife::Builder builder)
+{
+    builder.setWorker(life.worker);
+    builder.setBornUnixMilliseconds(life.bornUnixMilliseconds);
+}
+
+WorkerLife decodeLife(wire::WorkerLife::Reader reader)
+{
+    return {reader.getWorker().cStr(), reader.getBornUnixMilliseconds()};
+}
+
+void encodeRun(const RunName &run, wire::RunName::Builder builder)
+{
+    builder.setJob(run.task.job);
+    builder.setOccurrence(run.task.occurrence);
+    builder.setStep(run.task.step);
+    builder.setIndex(run.task.index);
+    builder.setRun(run.run);
+}
+
+RunName decodeRun(wire::RunName::Reader reader)
+{
+    return {{reader.getJob().cStr(), reader.getOccurrence(), reader.getStep(), reader.getIndex()}, reader.getRun()};
+}
+
+RunEnding decodeEnding(std::uint8_t number)
+{
+    // A number of a later version counts as a failure of the run.
+    return number <= static_cast<std::uint8_t>(RunEnding::WorkerGone) ? static_cast<RunEnding>(number) : RunEnding::Failed;
+}
+
+TimePoint decodeTime(std::int64_t microseconds)
+{
+    return TimePoint(Duration(microseconds));
+}
+
+TaskOrder decodeOrder(wire::TaskOrder::Reader reader)
+{
+    TaskOrder order;
+    order.kind = reader.getKind() == static_cast<std::uint8_t>(TaskOrderKind::Start) ? TaskOrderKind::Start : TaskOrderKind::Stop;
+    order.run = decodeRun(reader.getRun());
+    order.life = decodeLife(reader.getLife());
+    order.payload = reader.getPayload().cStr();
+    order.checkpoint = reader.getCheckpoint().cStr();
+    order.startBy = decodeTime(reader.getStartByMicroseconds());
+    return order;
+}
+
+void encodeOrder(const TaskOrder &order, wire::TaskOrder::Builder builder)
+{
+    builder.setKind(static_cast<std::uint8_t>(order.kind));
+    encodeRun(order.run, builder.initRun());
+    encodeLife(order.life, builder.initLife());
+    builder.setPayload(order.payload);
+    builder.setCheckpoint(order.checkpoint);
+    builder.setStartByMicroseconds(order.startBy.time_since_epoch().count());
+}
+
+void encodeWorker(const WorkerAnnouncement &worker, wire::WorkerStatus::Builder builder)
+{
+    encodeLife(worker.life, builder.initLife());
+    builder.setService(worker.service);
+    builder.setFailureDomain(worker.failureDomain);
+    builder.setProcessors(worker.capacity.processors);
+    builder.setMemory(worker.capacity.memory);
+    builder.setAccelerators(worker.capacity.accelerators);
+    builder.setDraining(worker.draining);
+    builder.setLeavesAfterMicroseconds(worker.leavesAfter.count());
+    auto labels = builder.initLabels(static_cast<unsigned>(worker.labels.size()));
+    for (unsigned index = 0; index < worker.labels.size(); ++index) {
+        labels.set(index, worker.labels[index]);
+    }
+}
+
+WorkerAnnouncement decodeWorker(wire::WorkerStatus::Reader reader)
+{
+    WorkerAnnouncement worker;
+    worker.life = decodeLife(reader.getLife());
+    worker.service = reader.getService().cStr();
+    worker.failureDomain = reader.getFailureDomain().cStr();
+    worker.capacity = {reader.getProcessors(), reader.getMemory(), reader.getAccelerators()};
+    worker.draining = reader.getDraining();
+    worker.leavesAfter = Duration(reader.getLeavesAfterMicroseconds());
+    for (const auto label : reader.getLabels()) {
+        worker.labels.emplace_back(label.cStr());
+    }
+    return worker;
+}
+
+} // namespace
+
+void encode(const SuperviseRequest &request, wire::SuperviseRequest::Builder builder)
+{
+    builder.setEpoch(request.epoch);
+    builder.setRenews(request.renews);
+    builder.setValidUntilMicroseconds(request.validUntil.time_since_epoch().count());
+    builder.setBatch(request.batch);
+    encodeLife(request.acknowledgedLife, builder.initAcknowledgedLife());
+    builder.setAcknowledgedEnd(request.acknowledgedEnd);
+    builder.setKnownIncarnation(request.knownIncarnation);
+    builder.setKnownStatus(request.knownStatus);
+    builder.setWaitMicroseconds(request.wait.count());
+    auto orders = builder.initOrders(static_cast<unsigned>(request.orders.size()));
+    for (unsigned index = 0; index < request.orders.size(); ++index) {
+        encodeOrder(request.orders[index], orders[index]);
+    }
+}
+
+SuperviseRequest decode(wire::SuperviseRequest::Reader reader)
+{
+    SuperviseRequest request;
+    request.epoch = reader.getEpoch();
+    request.renews = reader.getRenews();
+    request.validUntil = decodeTime(reader.getValidUntilMicroseconds());
+    request.batch = reader.getBatch();
+    request.acknowledgedLife = decodeLife(reader.getAcknowledgedLife());
+    request.acknowledgedEnd = reader.getAcknowledgedEnd();
+    request.knownIncarnation = reader.getKnownIncarnation();
+    request.knownStatus = reader.getKnownStatus();
+    request.wait = Duration(reader.getWaitMicroseconds());
+    for (const auto order : reader.getOrders()) {
+        request.orders.push_back(decodeOrder(order));
+    }
+    return request;
+}
+
+void encode(const WorkerStatus &status, wire::WorkerStatus::Builder builder)
+{
+    builder.setAgentIncarnation(status.agentIncarnation);
+    builder.setNumber(status.number);
+    builder.setClockMicroseconds(status.clock.time_since_epoch().count());
+    builder.setUnixMilliseconds(status.unixMilliseconds);
+    builder.setHighestEpoch(status.highestEpoch);
+    builder.setOrdersSeen(status.ordersSeen);
+    builder.setListed(status.listed);
+    builder.setAnswering(status.answering);
+    builder.setLapsed(status.lapsed);
+    builder.setLeaving(status.leaving);
+    encodeWorker(status.worker, builder);
+    auto runs = builder.initRuns(static_cast<unsigned>(status.runs.size()));
+    for (unsigned index = 0; index < status.runs.size(); ++index) {
+        encodeRun(status.runs[index].run, runs[index].initRun());
+        runs[index].setStarting(status.runs[index].starting);
+        runs[index].setCheckpoint(status.runs[index].checkpoint);
+    }
+    auto ends = builder.initEnds(static_cast<unsigned>(status.ends.size()));
+    for (unsigned index = 0; index < status.ends.size(); ++index) {
+        ends[index].setNumber(status.ends[index].number);
+        encodeRun(status.ends[index].run, ends[index].initRun());
+        ends[index].setEnding(static_cast<std::uint8_t>(status.ends[index].ending));
+        ends[index].setCheckpoint(status.ends[index].checkpoint);
+    }
+    auto refusals = builder.initRefusals(static_cast<unsigned>(status.refusals.size()));
+    for (unsigned index = 0; index < status.refusals.size(); ++index) {
+        encodeRun(status.refusals[index].run, refusals[index].initRun());
+        refusals[index].setReason(status.refusals[index].reason);
+    }
+}
+
+WorkerStatus decode(wire::WorkerStatus::Reader reader)
+{
+    WorkerStatus status;
+    status.agentIncarnation = reader.getAgentIncarnation();
+    status.number = reader.getNumber();
+    status.clock = decodeTime(reader.getClockMicroseconds());
+    status.unixMilliseconds = reader.getUnixMilliseconds();
+    status.highestEpoch = reader.getHighestEpoch();
+    status.ordersSeen = reader.getOrdersSeen();
+    status.listed = reader.getListed();
+    status.answering = reader.getAnswering();
+    status.lapsed = reader.getLapsed();
+    status.leaving = reader.getLeaving();
+    status.worker = decodeWorker(reader);
+    for (const auto report : reader.getRuns()) {
+        status.runs.push_back({decodeRun(report.getRun()), report.getStarting(), report.getCheckpoint().cStr()});
+    }
+    for (const auto end : reader.getEnds()) {
+        status.ends.push_back({end.getNumber(), decodeRun(end.getRun()), decodeEnding(end.getEnding()), end.getCheckpoint().cStr()});
+    }
+    for (const auto refusal : reader.getRefusals()) {
+        status.refusals.push_back({decodeRun(refusal.getRun()), refusal.getReason().cStr()});
+    }
+    return status;
+}
+
+} // namespace banyanlock
--- a/src/rpc/banyanlock.capnp
+++ b/src/rpc/banyanlock.capnp
@@ -81,3 +81,88 @@
   # Tells a peer that this entry lives, and what configuration it has.
   heartbeat @1 (peer :PeerHeartbeat) -> (peer :PeerHeartbeat);
 }
+
+struct WorkerLife {
+  worker @0 :Text;
+  bornUnixMilliseconds @1 :Int64;
+}
+
+struct RunName {
+  job @0 :Text;
+  occurrence @1 :UInt32;
+  step @2 :UInt32;
+  index @3 :UInt32;
+  run @4 :UInt32;
+}
+
+struct TaskOrder {
+  # A TaskOrderKind.
+  kind @0 :UInt8;
+  run @1 :RunName;
+  life @2 :WorkerLife;
+  payload @3 :Text;
+  checkpoint @4 :Text;
+  startByMicroseconds @5 :Int64;
+}
+
+struct SuperviseRequest {
+  epoch @0 :UInt64;
+  renews @1 :Bool;
+  validUntilMicroseconds @2 :Int64;
+  batch @3 :UInt64;
+  orders @4 :List(TaskOrder);
+  acknowledgedLife @5 :WorkerLife;
+  acknowledgedEnd @6 :UInt64;
+  knownIncarnation @7 :UInt64;
+  knownStatus @8 :UInt64;
+  waitMicroseconds @9 :Int64;
+}
+
+struct RunReport {
+  run @0 :RunName;
+  starting @1 :Bool;
+  checkpoint @2 :Text;
+}
+
+struct RunEnd {
+  number @0 :UInt64;
+  run @1 :RunName;
+  # A RunEnding.
+  ending @2 :UInt8;
+  checkpoint @3 :Text;
+}
+
+struct RunRefusal {
+  run @0 :RunName;
+  reason @1 :Text;
+}
+
+struct WorkerStatus {
+  agentIncarnation @0 :UInt64;
+  number @1 :UInt64;
+  clockMicroseconds @2 :Int64;
+  unixMilliseconds @3 :Int64;
+  highestEpoch @4 :UInt64;
+  ordersSeen @5 :UInt64;
+  listed @6 :Bool;
+  answering @7 :Bool;
+  lapsed @8 :Bool;
+  leaving @9 :Bool;
+  life @10 :WorkerLife;
+  service @11 :Text;
+  failureDomain @12 :Text;
+  processors @13 :Int64;
+  memory @14 :Int64;
+  accelerators @15 :Int64;
+  labels @16 :List(Text);
+  draining @17 :Bool;
+  leavesAfterMicroseconds @18 :Int64;
+  runs @19 :List(RunReport);
+  ends @20 :List(RunEnd);
+  refusals @21 :List(RunRefusal);
+}
+
+interface SupervisorRpc {
+  # Renews, acknowledges and orders; the status comes when it is newer than the known one, or after the wait.
+  supervise @0 (request :SuperviseRequest) -> (status :WorkerStatus);
+}
--- a/src/platform/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -1,5 +1,6 @@
-#include "platform/EventLoop.h"
+#include "runtime/EventLoop.h"
 
+#include <algorithm>
 #include <asio/post.hpp>
 #include <csignal>
 #include <cstdlib>
@@ -37,13 +38,15 @@
     if (!deadline) {
         return;
     }
-    const std::chrono::steady_clock::time_point wakeAt(deadline->time_since_epoch());
-    if (m_wake.expiry() == wakeAt) {
+    if (m_wakeFor == deadline) {
         return;
     }
-    m_wake.expires_at(wakeAt);
+    // The timer's clock stands still while the instance is suspended: a wait may be late by that time, and each event advances the timers.
+    m_wakeFor = deadline;
+    m_wake.expires_after(std::max(Duration::zero(), *deadline - now()));
     m_wake.async_wait([this](const std::error_code &error) {
         if (!error) {
+            m_wakeFor.reset();
             runEvent([] {
             });
         }
--- a/src/platform/EventLoop.h
+++ b/src/runtime/EventLoop.h
@@ -6,6 +6,7 @@
 #include <asio/signal_set.hpp>
 #include <asio/steady_timer.hpp>
 #include <functional>
+#include <optional>
 
 namespace banyanlock
 {
@@ -79,6 +80,7 @@
     asio::io_context m_context{1};
     TimerService m_timers;
     asio::steady_timer m_wake;
+    std::optional<TimePoint> m_wakeFor; // deadline that the timer is set for
     asio::signal_set m_signals;
     std::function<void()> m_flush;
     std::function<void()> m_shutdown;
--- a/src/platform/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -1,6 +1,6 @@
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
-#include "platform/HttpExchange.h"
+#include "runtime/HttpExchange.h"
 
 #include <mutex>
 #include <thread>
--- a/src/platform/HttpClient.h
+++ b/src/runtime/HttpClient.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/HttpMessage.h"
+#include "runtime/HttpMessage.h"
 
 #include <functional>
 #include <memory>
--- a/src/platform/HttpExchange.cpp
+++ b/src/runtime/HttpExchange.cpp
@@ -1,4 +1,4 @@
-#include "platform/HttpExchange.h"
+#include "runtime/HttpExchange.h"
 
 #include <strings.h>
 #include <utility>
@@ -68,6 +68,9 @@
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDSIZE_LARGE, static_cast<curl_off_t>(m_request.body.size()));
         curl_easy_setopt(m_handle, CURLOPT_POSTFIELDS, m_request.body.c_str());
     }
+    if (m_request.freshConnection) {
+        curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
+    }
     if (m_request.neverRepeat) {
         // libcurl sends a request again by itself when a reused connection closes before the first byte of the answer, even
         // though the server may have acted on it. A fresh connection is never retried.
--- a/src/platform/HttpExchange.h
+++ b/src/runtime/HttpExchange.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "platform/HandlePool.h"
-#include "platform/HttpClient.h"
+#include "runtime/HandlePool.h"
+#include "runtime/HttpClient.h"
 
 #include <curl/curl.h>
 
--- a/src/platform/HttpMessage.h
+++ b/src/runtime/HttpMessage.h
@@ -20,6 +20,7 @@
     std::vector<HttpHeader> headers; ///< Further header fields.
     std::string body; ///< Body; sent if not empty or for POST and PUT.
     long timeoutMilliseconds = 5000; ///< Limit for the whole exchange.
+    bool freshConnection = false; ///< Make a new connection: open ones may have gone silent.
     bool neverRepeat = false; ///< Send over a fresh connection, so that the library can't send it twice.
 };
 
--- a/src/platform/TableClient.cpp
+++ b/src/store/TableClient.cpp
@@ -1,6 +1,6 @@
-#include "platform/TableClient.h"
+#include "store/TableClient.h"
 
-#include "platform/TableCodec.h"
+#include "store/TableCodec.h"
 
 #include <utility>
 
--- a/src/platform/TableClient.h
+++ b/src/store/TableClient.h
@@ -2,8 +2,8 @@
 
 #include "core/Counters.h"
 #include "core/TableTypes.h"
-#include "platform/EventLoop.h"
-#include "platform/HttpClient.h"
+#include "runtime/EventLoop.h"
+#include "runtime/HttpClient.h"
 
 #include <functional>
 #include <string>
--- a/src/platform/TableCodec.cpp
+++ b/src/store/TableCodec.cpp
@@ -1,4 +1,4 @@
-#include "platform/TableCodec.h"
+#include "store/TableCodec.h"
 
 #include <cctype>
 #include <nlohmann/json.hpp>
--- a/standins/LoadTool.cpp
+++ b/standins/LoadTool.cpp
@@ -1,5 +1,5 @@
 #include "Standins.h"
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 #include <algorithm>
 #include <chrono>
--- a/standins/TableStandin.cpp
+++ b/standins/TableStandin.cpp
@@ -2,7 +2,7 @@
 #include "Standins.h"
 #include "TableModel.h"
 #include "core/SettingKey.h"
-#include "platform/TableCodec.h"
+#include "store/TableCodec.h"
 
 #include <sstream>
 
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -3,8 +3,8 @@
 #include "WorkerModel.h"
 #include "core/Random.h"
 #include "core/SettingKey.h"
-#include "platform/HttpClient.h"
-#include "platform/TableCodec.h"
+#include "runtime/HttpClient.h"
+#include "store/TableCodec.h"
 #include "schedule/WorkerCodec.h"
 
 #include <iostream>
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -1,6 +1,6 @@
 #include "http/HttpServer.h"
 #include "http/Problem.h"
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 
 #include <arpa/inet.h>
 #include <boost/test/unit_test.hpp>
--- a/tests/platform/HttpClientTest.cpp
+++ b/tests/runtime/HttpClientTest.cpp
@@ -1,6 +1,6 @@
-#include "platform/HttpClient.h"
+#include "runtime/HttpClient.h"
 #include "RawServer.h"
-#include "platform/TableCodec.h"
+#include "store/TableCodec.h"
 
 #include <boost/test/unit_test.hpp>
 
