Take a changed settings file instead of ending on SIGHUP

Change: the event loop takes the signal; pool daemons read their settings anew and apply the log level.

--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -63,6 +63,11 @@
     logging::core::get()->add_sink(sink);
 }
 
+void Log::setLevel(LogLevel level)
+{
+    identity().level = level;
+}
+
 void Log::write(LogLevel level, std::string_view event, std::initializer_list<LogField> fields)
 {
     if (!identity().started || level < identity().level) {
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -33,6 +33,10 @@
     /// @param level Lines below this level are left out.
     static void start(std::string_view role, std::string_view name, LogLevel level);
 
+    /// Sets the least level of lines that are written.
+    /// @param level The level.
+    static void setLevel(LogLevel level);
+
     /// Writes one line.
     /// @param level Weight of the line.
     /// @param event Name of the event, in snake case.
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -17,8 +17,10 @@
 {
 public:
     /// @param settings Checked settings.
-    explicit PoolAgentDaemon(PoolAgentSettings settings)
+    /// @param settingsPath File that they come from, for a reload.
+    PoolAgentDaemon(PoolAgentSettings settings, std::string settingsPath)
         : m_settings(std::move(settings))
+        , m_settingsPath(std::move(settingsPath))
         , m_http(connectionsPerHost)
         , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
         , m_worker(m_settings.workerUrl, m_loop, m_http)
@@ -57,6 +59,9 @@
         m_loop.onShutdown([this] {
             shutDown();
         });
+        m_loop.onReload([this] {
+            reloadLogLevel(m_settingsPath, poolAgentSettingKeys());
+        });
         m_loop.run();
         Log::info("agent_stopped");
         return Done();
@@ -238,6 +243,7 @@
     }
 
     PoolAgentSettings m_settings;
+    std::string m_settingsPath;
     Counters m_counters;
     EventLoop m_loop;
     HttpClient m_http;
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -5,6 +5,7 @@
 #include "poolhost/PoolApi.h"
 #include "poolhost/PoolOwner.h"
 #include "poolhost/PoolSettings.h"
+#include "poolhost/SettingsReload.h"
 #include "rpc/RpcNode.h"
 
 #include <chrono>
@@ -27,8 +28,10 @@
 {
 public:
     /// @param settings Checked settings.
-    explicit PoolEntryDaemon(PoolEntrySettings settings)
+    /// @param settingsPath File that they come from, for a reload.
+    PoolEntryDaemon(PoolEntrySettings settings, std::string settingsPath)
         : m_settings(std::move(settings))
+        , m_settingsPath(std::move(settingsPath))
         , m_http(connectionsPerHost)
         , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
         , m_mirror(m_store, m_loop, m_counters)
@@ -82,6 +85,9 @@
         m_loop.onShutdown([this] {
             shutDown();
         });
+        m_loop.onReload([this] {
+            reloadLogLevel(m_settingsPath, poolEntrySettingKeys());
+        });
         m_loop.run();
         Log::info("entry_stopped");
         return Done();
@@ -213,6 +219,7 @@
     static constexpr int unavailable = 503;
 
     PoolEntrySettings m_settings;
+    std::string m_settingsPath;
     Counters m_counters;
     EventLoop m_loop;
     HttpClient m_http;
--- a/src/program/DaemonSettings.h
+++ b/src/program/DaemonSettings.h
@@ -23,9 +23,11 @@
 /// @param keys All keys of the role.
 /// @param settings Receives the settings.
 /// @param exitCode Receives the exit code when there is nothing to run.
+/// @param path Receives the path of the settings file.
 /// @return Whether the daemon shall run.
 template <typename Settings>
-bool loadSettings(const CommandContext &context, std::span<const SettingKey<Settings>> keys, Settings &settings, ExitCode &exitCode)
+bool loadSettings(const CommandContext &context, std::span<const SettingKey<Settings>> keys, Settings &settings, ExitCode &exitCode,
+                  std::string *path = nullptr)
 {
     cxxopts::Options options = context.makeOptions("");
     options.add_options()("settings", "Settings file in YAML", cxxopts::value<std::string>());
@@ -45,6 +47,9 @@
         return false;
     }
     settings = std::move(valueOf(read));
+    if (path != nullptr) {
+        *path = parsed.result["settings"].as<std::string>();
+    }
     return true;
 }
 
--- a/src/runtime/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -12,7 +12,9 @@
 EventLoop::EventLoop()
     : m_wake(m_context)
     , m_signals(m_context, SIGTERM, SIGINT)
+    , m_hangups(m_context, SIGHUP)
 {
+    waitForHangup();
 }
 
 void EventLoop::post(std::function<void()> event)
@@ -74,6 +76,24 @@
     });
 }
 
+void EventLoop::onReload(std::function<void()> reload)
+{
+    m_reload = std::move(reload);
+}
+
+void EventLoop::waitForHangup()
+{
+    m_hangups.async_wait([this](const std::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        waitForHangup();
+        if (m_reload) {
+            runEvent(m_reload);
+        }
+    });
+}
+
 void EventLoop::run()
 {
     const auto guard = asio::make_work_guard(m_context);
--- a/src/runtime/EventLoop.h
+++ b/src/runtime/EventLoop.h
@@ -59,6 +59,10 @@
     /// @param shutdown Starts a graceful shutdown.
     void onShutdown(std::function<void()> shutdown);
 
+    /// Sets what each SIGHUP calls. Without it the signal is passed over.
+    /// @param reload Reads the settings anew.
+    void onReload(std::function<void()> reload);
+
     /// Runs events until `stop`.
     void run();
 
@@ -76,14 +80,17 @@
 private:
     void armWake();
     void waitForSignal();
+    void waitForHangup();
 
     asio::io_context m_context{1};
     TimerService m_timers;
     asio::steady_timer m_wake;
     std::optional<TimePoint> m_wakeFor; // deadline that the timer is set for
     asio::signal_set m_signals;
+    asio::signal_set m_hangups;
     std::function<void()> m_flush;
     std::function<void()> m_shutdown;
+    std::function<void()> m_reload;
     bool m_shuttingDown = false;
 };
 
