Lapse the runs of a worker whose agent has lost sight of it, and plan less often

Change: runs lapse after the last moment at which the agent can have renewed; steps are grouped by 20 ms and plan only on news.

--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -42,13 +42,14 @@
     disown();
     m_epoch = epoch;
     m_ownedAt = now;
-    m_changed = true;
+    planSoon();
     for (auto &[agent, worker] : m_workers) {
         const std::string address = agent;
         worker = PoolWorker();
         worker.agent = address;
         // An earlier owner that is cut off may go on renewing for a while.
         worker.lastRenewal = now + m_times.detached;
+        worker.renewableAt = now;
     }
     adoptRunning(now);
 }
@@ -109,8 +110,9 @@
     PoolWorker worker;
     worker.agent = agent;
     worker.lastRenewal = m_ownedAt + m_times.detached;
+    worker.renewableAt = m_ownedAt;
     m_workers[agent] = std::move(worker);
-    m_changed = true;
+    planSoon();
 }
 
 void PoolScheduler::markDirty(const std::string &job)
@@ -135,7 +137,11 @@
     expireSilent(now);
     stopUnwanted(now);
     closeEnded(now);
-    schedule(now);
+    if (m_planDue || now - m_plannedAt >= m_times.planRepeat) {
+        schedule(now);
+        m_planDue = false;
+        m_plannedAt = now;
+    }
     sendCalls(now);
     m_changed = false;
 }
@@ -214,7 +220,7 @@
             orderStarts(found->second, now);
         }
     }
-    m_changed = true;
+    planSoon();
 }
 
 void PoolScheduler::onConflict()
@@ -237,7 +243,7 @@
     // What the batch carried beside starts is written with the next one.
     m_dirty.insert(m_batchJobs.begin(), m_batchJobs.end());
     m_batchJobs.clear();
-    m_changed = true;
+    planSoon();
 }
 
 std::vector<CallAgent> PoolScheduler::takeCalls()
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -33,6 +33,7 @@
     Duration detached = fromMilliseconds(8000); ///< Time for which an owner that can't reach the table service renews leases.
     Duration stopRepeat = fromMilliseconds(500); ///< Pause between two stops of the same run.
     Duration gangGrace = fromMilliseconds(1500); ///< Time for all members of a gang to start; half of what members wait.
+    Duration planRepeat = fromMilliseconds(500); ///< Longest time between two plans: due times and patience are noticed this late.
     Duration quarantine = fromMilliseconds(5000); ///< Time for which a worker that fails what it is given gets nothing.
 };
 
@@ -97,6 +98,12 @@
 
     /// Tells that jobs, cancellations or operators' wishes have changed.
     void onRows()
+    {
+        planSoon();
+    }
+
+    /// Tells that some time has passed.
+    void onTick()
     {
         m_changed = true;
     }
@@ -158,12 +165,19 @@
 private:
     using UnitId = std::pair<std::string, UnitKey>;
 
+    void planSoon()
+    {
+        m_changed = true;
+        m_planDue = true;
+    }
+
     // PoolScheduler.cpp: ownership and rows
     void adoptRunning(TimePoint now);
     void markDirty(const std::string &job);
 
     // PoolUnits.cpp: life cycle of units
     void takeStatus(PoolWorker &worker, TimePoint now);
+    void settleMissing(const PoolWorker &worker, TimePoint now);
     void updateMember(ActiveMember &member, const PoolWorker &worker, TimePoint now);
     void expireSilent(TimePoint now);
     void checkGang(ActiveUnit &unit, TimePoint now);
@@ -214,8 +228,10 @@
     std::int64_t m_unixOffset = 0; // milliseconds between the time of day and this instance's clock
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextCall = 1;
+    TimePoint m_plannedAt{};
     bool m_batchOut = false;
-    bool m_changed = false;
+    bool m_changed = false; // events have come since the last step
+    bool m_planDue = false; // what waits or where it can go has changed since the last plan
     bool m_renewalsAllowed = true;
 };
 
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -59,8 +59,8 @@
         worker.pollOut = false;
         worker.nextPoll = status == nullptr ? now + m_times.retry : now;
     }
+    m_changed = true;
     if (status == nullptr) {
-        m_changed = true;
         return;
     }
     if (status->highestEpoch > m_epoch) {
@@ -89,11 +89,34 @@
     if (status->agentIncarnation != worker.status.agentIncarnation) {
         worker.batch = status->ordersSeen; // a new process counts anew
     }
+    const bool news = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number
+        || now - worker.answeredAt > m_times.silence;
+    if (status->listed) {
+        worker.renewableAt = now;
+    } else if (worker.status.listed) {
+        worker.renewableAt = std::max(worker.renewableAt, worker.lastRenewal);
+    }
     worker.status = *status;
     worker.askedAt = sentAt;
     worker.answeredAt = now;
-    takeStatus(worker, now);
-    m_changed = true;
+    if (news) {
+        m_planDue = true;
+        takeStatus(worker, now);
+    } else {
+        settleMissing(worker, now);
+    }
+}
+
+void PoolScheduler::settleMissing(const PoolWorker &worker, TimePoint now)
+{
+    // A status without news still proves that an order which was under way has come to nothing.
+    for (auto &[id, unit] : m_units) {
+        for (ActiveMember &member : unit.members) {
+            if (!member.confirmed && !memberEnded(member) && unit.phase == UnitPhase::Started && member.place.agent == worker.agent) {
+                updateMember(member, worker, now);
+            }
+        }
+    }
 }
 
 void PoolScheduler::takeStatus(PoolWorker &worker, TimePoint now)
@@ -167,7 +190,13 @@
             if (memberEnded(member) || worker == nullptr) {
                 continue;
             }
-            const TimePoint lapsed = std::max(worker->lastRenewal, worker->answeredAt) + m_times.validity + m_times.lease + m_times.leaseSlack;
+            const bool silent = !worker->known || now - worker->answeredAt > m_times.silence;
+            if (!silent && worker->status.listed) {
+                continue;
+            }
+            // An agent that has no lists renews nothing; one that is silent may have heard what it did not answer.
+            const TimePoint renewed = silent ? std::max(worker->lastRenewal, worker->answeredAt) : worker->renewableAt;
+            const TimePoint lapsed = renewed + m_times.validity + m_times.lease + m_times.leaseSlack;
             if (now > lapsed && now > member.settledAt + m_times.lease) {
                 member.ending = RunEnding::LeaseLapsed;
                 Log::warning("run_lapsed_unseen",
@@ -249,10 +278,10 @@
                 if (worker == nullptr || !worker->known || !worker->status.worker.draining) {
                     continue;
                 }
-                // Declared times are rough, and a worker may stay longer than it says.
+                // What would be lost with the worker starts elsewhere at once; a checkpoint must be taken before it leaves.
                 constexpr Duration benefit = fromMilliseconds(1000);
                 const Duration left = step.estimate - (now - unit.startedAt);
-                if (step.lasting || left > 2 * worker->status.worker.leavesAfter + benefit) {
+                if (step.lasting || left > worker->status.worker.leavesAfter - (step.checkpoints ? benefit : Duration::zero())) {
                     stop(unit, StopReason::WorkerLeaves);
                     break;
                 }
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -17,6 +17,7 @@
     TimePoint askedAt{}; ///< When the call was sent that the newest status answers.
     TimePoint answeredAt{}; ///< When the newest status came.
     TimePoint lastRenewal{}; ///< Latest moment at which a renewal can have been sent that the agent has not answered.
+    TimePoint renewableAt{}; ///< Latest moment at which the agent can have renewed the worker's lease, as far as its answers tell.
     bool pollOut = false; ///< A waiting call is under way.
     std::uint64_t pollCall = 0; ///< Its number.
     TimePoint nextPoll{}; ///< When to call again after a failure.
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -79,8 +79,8 @@
         });
         m_mirror.start();
         m_owner.start();
-        m_loop.repeat(stepInterval, [this](TimePoint) {
-            m_scheduler.onRows();
+        m_loop.repeat(tickInterval, [this](TimePoint) {
+            m_scheduler.onTick();
         });
         m_loop.onShutdown([this] {
             shutDown();
@@ -95,7 +95,8 @@
 
 private:
     static constexpr long connectionsPerHost = 32; // a few followed tables beside callers' transactions
-    static constexpr Duration stepInterval = fromMilliseconds(200); // silence and due times are noticed this late
+    static constexpr Duration tickInterval = fromMilliseconds(200); // silence is noticed this late
+    static constexpr Duration stepPause = fromMilliseconds(20); // events of this span are worked off together; a fortieth of an urgent job's patience
     static constexpr Duration idleCheck = fromMilliseconds(100); // the pause between two looks whether everything is answered
 
     static PoolTimes makeTimes(const PoolEntrySettings &settings)
@@ -166,7 +167,7 @@
         }
         m_scheduler.allowRenewals(m_owner.mayRenew(now));
         if (m_scheduler.isStepDue()) {
-            m_scheduler.step(now, unixMillisecondsNow());
+            step(now);
         }
         m_owner.flush(now);
         for (CallAgent &call : m_scheduler.takeCalls()) {
@@ -174,6 +175,19 @@
         }
     }
 
+    void step(TimePoint now)
+    {
+        if (now - m_steppedAt >= stepPause) {
+            m_steppedAt = now;
+            m_scheduler.step(now, unixMillisecondsNow());
+        } else if (!m_stepArmed) {
+            m_stepArmed = true;
+            m_loop.timers().subscribe(m_steppedAt + stepPause, [this](TimePoint) {
+                m_stepArmed = false;
+            });
+        }
+    }
+
     void send(CallAgent call, TimePoint now)
     {
         const std::string agent = call.agent;
@@ -229,6 +243,8 @@
     PoolScheduler m_scheduler;
     PoolOwner<Platform> m_owner;
     PoolApi<Platform> m_api;
+    TimePoint m_steppedAt{};
+    bool m_stepArmed = false;
     std::size_t m_openCalls = 0;
     bool m_stopping = false;
     bool m_ready = false;
