--- a/src/pool/ActiveUnit.h
+++ b/src/pool/ActiveUnit.h
@@ -30,6 +30,7 @@
     Preempted, ///< Others need its room.
     MemberLost, ///< A member of the gang has ended or did not start.
     WorkerLeaves, ///< A worker will leave before the task is done.
+    AlreadyDone, ///< An earlier run has done the work.
 };
 
 /// @param reason Reason to name.
--- a/src/pool/OwnerRow.cpp
+++ b/src/pool/OwnerRow.cpp
@@ -7,7 +7,7 @@
 
 std::string encodeOwnerRow(const OwnerRow &row)
 {
-    return nlohmann::json{{"owner", row.owner}, {"incarnation", row.incarnation}, {"epoch", row.epoch}, {"beat", row.beat}}.dump();
+    return nlohmann::json{{"owner", row.owner}, {"incarnation", row.incarnation}, {"epoch", row.epoch}, {"settled", row.settled}, {"beat", row.beat}}.dump();
 }
 
 std::optional<OwnerRow> decodeOwnerRow(const std::string &text)
@@ -15,7 +15,7 @@
     try {
         const nlohmann::json json = nlohmann::json::parse(text);
         return OwnerRow{json.at("owner").get<std::string>(), json.at("incarnation").get<std::uint64_t>(),
-                        json.at("epoch").get<std::uint64_t>(), json.at("beat").get<std::uint64_t>()};
+                        json.at("epoch").get<std::uint64_t>(), json.at("settled").get<bool>(), json.at("beat").get<std::uint64_t>()};
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/src/pool/OwnerRow.h
+++ b/src/pool/OwnerRow.h
@@ -13,6 +13,7 @@
     std::string owner; ///< Name of the owning entry; empty when it was given up.
     std::uint64_t incarnation = 0; ///< Process of the owner.
     std::uint64_t epoch = 0; ///< Fencing token; rises with each change of the owner.
+    bool settled = true; ///< No earlier owner can renew leases any more.
     std::uint64_t beat = 0; ///< Number of the owner's transaction; tells its own writes apart.
 
     /// Compares all fields.
--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -8,6 +8,16 @@
 namespace banyanlock
 {
 
+Duration PoolScheduler::pollWait() const
+{
+    return std::clamp(m_times.pollPerWorker * static_cast<std::int64_t>(m_workers.size()), m_times.shortestPoll, m_times.longestPoll);
+}
+
+bool PoolScheduler::isSilent(const PoolWorker &worker, TimePoint now) const
+{
+    return now - worker.answeredAt > pollWait() + m_times.silence;
+}
+
 void PoolScheduler::sendCalls(TimePoint now)
 {
     for (auto &[agent, worker] : m_workers) {
@@ -30,12 +40,12 @@
     request.epoch = m_epoch;
     if (worker.known) {
         request.validUntil = worker.agentClock(now) + m_times.validity;
-        request.renews = m_renewalsAllowed && now - worker.answeredAt < m_times.silence;
+        request.renews = m_renewalsAllowed && !isSilent(worker, now);
         request.knownIncarnation = worker.status.agentIncarnation;
         request.knownStatus = worker.status.number;
         request.acknowledgedLife = worker.status.worker.life;
         request.acknowledgedEnd = worker.recordedEnd;
-        request.wait = waits ? m_times.poll : Duration();
+        request.wait = waits ? pollWait() : Duration();
         if (!worker.orders.empty()) {
             request.orders = std::exchange(worker.orders, {});
             ++worker.batch;
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -115,7 +115,7 @@
 bool PoolScheduler::isUsable(const PoolWorker &worker, TimePoint now) const
 {
     return worker.known && worker.status.answering && !worker.status.leaving && !worker.status.worker.draining
-        && now - worker.answeredAt < m_times.silence && now >= worker.quarantinedUntil
+        && !isSilent(worker, now) && now >= worker.quarantinedUntil
         && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
 }
 
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -13,7 +13,8 @@
 namespace
 {
 
-constexpr std::array<const char *, 6> stopReasonNames{"none", "cancelled", "job_failed", "preempted", "member_lost", "worker_leaves"};
+constexpr std::array<const char *, 7> stopReasonNames{"none",        "cancelled",     "job_failed",  "preempted",
+                                                      "member_lost", "worker_leaves", "already_done"};
 
 // A transaction may carry 100 entries; a job adds its row and the check of its cancellation.
 constexpr std::size_t mostJobsInBatch = 40;
@@ -36,19 +37,19 @@
 {
 }
 
-void PoolScheduler::own(std::uint64_t epoch, TimePoint now)
+void PoolScheduler::own(std::uint64_t epoch, bool handedOver, TimePoint now)
 {
     BANYANLOCK_ASSERT(epoch != 0);
     disown();
     m_epoch = epoch;
     m_ownedAt = now;
+    m_othersRenewUntil = handedOver ? now : now + m_times.detached;
     planSoon();
     for (auto &[agent, worker] : m_workers) {
         const std::string address = agent;
         worker = PoolWorker();
         worker.agent = address;
-        // An earlier owner that is cut off may go on renewing for a while.
-        worker.lastRenewal = now + m_times.detached;
+        worker.lastRenewal = m_othersRenewUntil;
         worker.renewableAt = now;
     }
     adoptRunning(now);
@@ -109,7 +110,7 @@
     }
     PoolWorker worker;
     worker.agent = agent;
-    worker.lastRenewal = m_ownedAt + m_times.detached;
+    worker.lastRenewal = m_othersRenewUntil;
     worker.renewableAt = m_ownedAt;
     m_workers[agent] = std::move(worker);
     planSoon();
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -26,11 +26,13 @@
     Duration validity = fromMilliseconds(1000); ///< Time after which an agent passes over a call.
     Duration startLimit = fromMilliseconds(1500); ///< Time after which a worker refuses a start; far under the bounds of draining and taking out.
     Duration settle = fromMilliseconds(2200); ///< Start limit with the slack of clocks: afterwards a start can't come any more.
-    Duration poll = fromMilliseconds(1000); ///< Longest wait of a call for news.
+    Duration shortestPoll = fromMilliseconds(1000); ///< Wait of a call for news in a small pool.
+    Duration longestPoll = fromMilliseconds(2000); ///< Wait of a call for news in a large pool; a third of the lease.
+    Duration pollPerWorker = fromMilliseconds(35); ///< Spacing of calls: one takes 0.4 ms of a processor, so they stay at 1 % of a core.
     Duration answerLimit = fromMilliseconds(600); ///< Time for an answer beyond the wait.
     Duration retry = fromMilliseconds(250); ///< Pause after a call that failed.
-    Duration silence = fromMilliseconds(2000); ///< Time without an answer after which nothing is renewed or placed.
-    Duration detached = fromMilliseconds(8000); ///< Time for which an owner that can't reach the table service renews leases.
+    Duration silence = fromMilliseconds(1000); ///< Time without an answer, beyond the wait, after which nothing is renewed or placed.
+    Duration detached = fromMilliseconds(5000); ///< Time for which an owner that can't reach the table service renews leases; with the lease it bears an outage of 8 s.
     Duration stopRepeat = fromMilliseconds(500); ///< Pause between two stops of the same run.
     Duration gangGrace = fromMilliseconds(1500); ///< Time for all members of a gang to start; half of what members wait.
     Duration planRepeat = fromMilliseconds(500); ///< Longest time between two plans: due times and patience are noticed this late.
@@ -77,8 +79,9 @@
 
     /// Takes the pool over; all rows up to the taking have been read.
     /// @param epoch Fencing token.
+    /// @param handedOver Whether the earlier owner has given the pool up, and so renews nothing any more.
     /// @param now Current time.
-    void own(std::uint64_t epoch, TimePoint now);
+    void own(std::uint64_t epoch, bool handedOver, TimePoint now);
 
     /// Gives the pool up: nothing is sent any more.
     void disown();
@@ -89,6 +92,13 @@
         return m_epoch != 0;
     }
 
+    /// @param now Current time.
+    /// @return Whether no earlier owner can renew leases any more.
+    bool isSettled(TimePoint now) const
+    {
+        return now >= m_othersRenewUntil;
+    }
+
     /// Sets whether leases may be renewed.
     /// @param allowed Whether the owner has reached the table service lately.
     void allowRenewals(bool allowed)
@@ -186,12 +196,19 @@
     void closeEnded(TimePoint now);
     void close(const ActiveUnit &unit, TimePoint now);
     void noteEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
+    bool isOfActiveUnit(const RunName &run) const;
+    void noteProcessedEnds(PoolWorker &worker);
+    void takeLateSuccesses(const PoolWorker &worker);
+    void noteSuccess(GraphRecord &job, UnitProgress &progress);
+    void closeIfIdle(const GraphRecord &job);
     void finishJob(GraphRecord &job, GraphState state);
     void dropFinishedOccurrences(GraphRecord &job) const;
     void stopStrangers(PoolWorker &worker, TimePoint now);
     void stopUnwanted(TimePoint now);
     void orderStarts(ActiveUnit &unit, TimePoint now);
     PoolWorker *findWorker(const TaskPlace &place);
+    Duration pollWait() const;
+    bool isSilent(const PoolWorker &worker, TimePoint now) const;
 
     // PoolPlanning.cpp: what waits, and where it goes
     void schedule(TimePoint now);
@@ -225,6 +242,7 @@
     std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
     std::vector<CallAgent> m_calls;
     TimePoint m_ownedAt{};
+    TimePoint m_othersRenewUntil{}; // an earlier owner that is cut off may renew leases until then
     std::int64_t m_unixOffset = 0; // milliseconds between the time of day and this instance's clock
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextCall = 1;
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -57,7 +57,7 @@
     PoolWorker &worker = found->second;
     if (worker.pollOut && worker.pollCall == call) {
         worker.pollOut = false;
-        worker.nextPoll = status == nullptr ? now + m_times.retry : now;
+        worker.nextPoll = status == nullptr ? now + (isSilent(worker, now) ? m_times.shortestPoll : m_times.retry) : now;
     }
     m_changed = true;
     if (status == nullptr) {
@@ -90,7 +90,7 @@
         worker.batch = status->ordersSeen; // a new process counts anew
     }
     const bool news = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number
-        || now - worker.answeredAt > m_times.silence;
+        || isSilent(worker, now);
     if (status->listed) {
         worker.renewableAt = now;
     } else if (worker.status.listed) {
@@ -131,16 +131,77 @@
             checkGang(unit, now);
         }
     }
-    for (const RunEnd &end : worker.status.ends) {
-        worker.processedEnd = std::max(worker.processedEnd, end.number);
-    }
+    takeLateSuccesses(worker);
     closeEnded(now);
+    noteProcessedEnds(worker);
     if (m_dirty.empty() && !m_batchOut) {
         worker.recordedEnd = worker.processedEnd; // the ends changed nothing that is to be written
     }
     stopStrangers(worker, now);
 }
 
+bool PoolScheduler::isOfActiveUnit(const RunName &run) const
+{
+    const TaskName &task = run.task;
+    const GraphRecord *job = std::as_const(m_jobs).find(task.job);
+    if (job == nullptr || task.step >= job->spec.steps.size()) {
+        return false;
+    }
+    const bool gang = job->spec.steps[task.step].gang;
+    const auto unit = m_units.find({task.job, {task.occurrence, task.step, gang ? 0 : task.index}});
+    return unit != m_units.end() && unit->second.run == run.run;
+}
+
+void PoolScheduler::noteProcessedEnds(PoolWorker &worker)
+{
+    // The end of a gang's member is known to the rows only when the whole gang has ended: until then a new owner must find it listed.
+    std::uint64_t processed = worker.processedEnd;
+    std::uint64_t firstOpen = UINT64_MAX;
+    for (const RunEnd &end : worker.status.ends) {
+        if (isOfActiveUnit(end.run)) {
+            firstOpen = std::min(firstOpen, end.number);
+        } else {
+            processed = std::max(processed, end.number);
+        }
+    }
+    worker.processedEnd = std::max(worker.processedEnd, std::min(processed, firstOpen - 1));
+}
+
+void PoolScheduler::takeLateSuccesses(const PoolWorker &worker)
+{
+    // A run that was given up as lapsed may have succeeded before: its work counts, and a later run is stopped.
+    for (const RunEnd &end : worker.status.ends) {
+        const TaskName &task = end.run.task;
+        GraphRecord *job = m_jobs.find(task.job);
+        if (end.ending != RunEnding::Succeeded || job == nullptr || hasEnded(job->progress.state) || isOfActiveUnit(end.run)
+            || task.step >= job->spec.steps.size() || job->spec.steps[task.step].lasting
+            || task.occurrence < job->progress.finishedOccurrences) {
+            continue;
+        }
+        const UnitKey key{task.occurrence, task.step, job->spec.steps[task.step].gang ? 0 : task.index};
+        const auto progress = job->progress.units.find(key);
+        if (progress == job->progress.units.end() || progress->second.succeeded || end.run.run > progress->second.run) {
+            continue;
+        }
+        Log::info("late_success_taken", {{"run", describe(end.run)}, {"newest_run", static_cast<std::int64_t>(progress->second.run)}});
+        const auto unit = m_units.find({task.job, key});
+        if (unit != m_units.end()) {
+            stop(unit->second, StopReason::AlreadyDone);
+        }
+        noteSuccess(*job, progress->second);
+    }
+}
+
+void PoolScheduler::noteSuccess(GraphRecord &job, UnitProgress &progress)
+{
+    progress.succeeded = true;
+    markDirty(job.id);
+    dropFinishedOccurrences(job);
+    if (job.progress.finishedOccurrences >= occurrencesOf(job.spec)) {
+        finishJob(job, GraphState::Completed);
+    }
+}
+
 void PoolScheduler::updateMember(ActiveMember &member, const PoolWorker &worker, TimePoint now)
 {
     const WorkerStatus &status = worker.status;
@@ -190,7 +251,7 @@
             if (memberEnded(member) || worker == nullptr) {
                 continue;
             }
-            const bool silent = !worker->known || now - worker->answeredAt > m_times.silence;
+            const bool silent = !worker->known || isSilent(*worker, now);
             if (!silent && worker->status.listed) {
                 continue;
             }
@@ -370,7 +431,7 @@
         GraphRecord *job = m_jobs.find(id);
         const auto running = m_units.lower_bound({id, UnitKey()});
         const bool idle = running == m_units.end() || running->first.first != id;
-        if (job != nullptr && job->cancelled && idle && !m_dirty.contains(id)) {
+        if (job != nullptr && job->cancelled && idle && !hasEnded(job->progress.state)) {
             finishJob(*job, GraphState::Cancelled);
         }
     }
@@ -426,24 +487,27 @@
     }
     noteEndings(unit, outcome, now);
     const StepSpec &step = job->spec.steps[unit.key.step];
-    UnitProgress &progress = job->progress.units[unit.key];
+    markDirty(unit.job);
+    if (hasEnded(job->progress.state)) {
+        closeIfIdle(*job);
+    }
+    const auto recorded = job->progress.units.find(unit.key);
+    if (recorded == job->progress.units.end()) {
+        return; // its occurrence has been finished by an earlier run
+    }
+    UnitProgress &progress = recorded->second;
     progress.places.clear();
     for (const ActiveMember &member : unit.members) {
         if (step.checkpoints && !member.checkpoint.empty()) {
             progress.checkpoint = std::max(progress.checkpoint, member.checkpoint);
         }
     }
-    markDirty(unit.job);
     if (step.lasting) {
         return;
     }
     if (outcome == RunEnding::Succeeded) {
-        progress.succeeded = true;
-        dropFinishedOccurrences(*job);
-        if (job->progress.finishedOccurrences >= occurrencesOf(job->spec)) {
-            finishJob(*job, GraphState::Completed);
-        }
-    } else if (outcome == RunEnding::Failed) {
+        noteSuccess(*job, progress);
+    } else if (outcome == RunEnding::Failed && !progress.succeeded) {
         ++progress.failures;
         if (progress.failures >= job->terms.attemptLimit && !hasEnded(job->progress.state)) {
             finishJob(*job, GraphState::Failed);
@@ -467,14 +531,19 @@
     }
 }
 
-void PoolScheduler::finishJob(GraphRecord &job, GraphState state)
+void PoolScheduler::closeIfIdle(const GraphRecord &job)
 {
-    job.progress.state = state;
-    markDirty(job.id);
     const auto running = m_units.lower_bound({job.id, UnitKey()});
     if (running == m_units.end() || running->first.first != job.id) {
         m_jobs.close(job.id);
     }
+}
+
+void PoolScheduler::finishJob(GraphRecord &job, GraphState state)
+{
+    job.progress.state = state;
+    markDirty(job.id);
+    closeIfIdle(job);
     if (state == GraphState::Completed) {
         m_counters.add(Counter::PoolJobsCompleted);
     } else if (state == GraphState::Failed) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -17,7 +17,7 @@
 
 /// Times that an agent keeps towards its worker.
 struct SupervisorTimes {
-    Duration lease = fromMilliseconds(6000); ///< Time for which the worker's tasks go on after the owner's last renewal; setting.
+    Duration lease = fromMilliseconds(6000); ///< Time for which the worker's tasks go on after the owner's last renewal; bears a takeover.
     Duration poll = fromMilliseconds(1000); ///< Longest wait for an end; half of what the lease would bear, and under the start limit.
     Duration repeat = fromMilliseconds(200); ///< Pause between two looks at a list whose ends are not acknowledged, and after failures.
     Duration silence = fromMilliseconds(2500); ///< Time without lists after which the lease is not renewed; bears one lost answer.
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -19,7 +19,7 @@
 /// A submission is recorded under the condition that the configuration is the one that it was checked against, so a key or a queue that
 /// was taken away never lets one in. States and counts come from this entry's copy of the rows, and only while the copy is fresh.
 /// @tparam Platform Adapter of the platform.
-template <PoolPlatform Platform> class PoolApi
+template <PoolBackground Platform> class PoolApi
 {
 public:
     /// Answers one call; called once.
@@ -30,7 +30,7 @@
     /// @param mirror Copy of the rows.
     /// @param staleLimit Age of the operators' rows from which they are not believed any more.
     /// @param counters Counters.
-    PoolApi(EventLoop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit, Counters &counters)
+    PoolApi(typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit, Counters &counters)
         : m_loop(loop)
         , m_store(store)
         , m_mirror(mirror)
@@ -46,7 +46,7 @@
     {
         auto exchange = std::make_shared<Exchange>();
         exchange->call = std::move(call);
-        exchange->receivedAt = EventLoop::now();
+        exchange->receivedAt = m_loop.now();
         exchange->respond = respond;
         begin(exchange);
     }
@@ -88,8 +88,8 @@
                                     {"reason", answer.reason},
                                     {"queue", exchange->queue},
                                     {"configuration", static_cast<std::int64_t>(m_mirror.operators().configuration.version)},
-                                    {"configuration_age_ms", toMilliseconds(EventLoop::now() - m_mirror.operatorsProvenAt())},
-                                    {"took_ms", toMilliseconds(EventLoop::now() - exchange->receivedAt)}});
+                                    {"configuration_age_ms", toMilliseconds(m_loop.now() - m_mirror.operatorsProvenAt())},
+                                    {"took_ms", toMilliseconds(m_loop.now() - exchange->receivedAt)}});
         exchange->respond(std::move(answer));
     }
 
@@ -118,7 +118,7 @@
 
     void begin(const ExchangePointer &exchange)
     {
-        if (!isFresh(EventLoop::now())) {
+        if (!isFresh(m_loop.now())) {
             refuse(exchange, CallOutcome::NotReady, "configuration is not known freshly enough", Counter::PoolRefusedStale);
             return;
         }
@@ -254,7 +254,7 @@
             refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
             return;
         }
-        const TimePoint now = EventLoop::now();
+        const TimePoint now = m_loop.now();
         const TimePoint giveUp = exchange->receivedAt + exchange->call.deadline.value_or(defaultDeadline) - answerMargin;
         if (now + settlePause >= giveUp) {
             refuse(exchange, CallOutcome::Unsettled, "table service did not tell the outcome in time", Counter::PoolUnsettled);
@@ -340,7 +340,7 @@
         });
     }
 
-    EventLoop &m_loop;
+    typename Platform::Loop &m_loop;
     typename Platform::Store &m_store;
     PoolMirror<Platform> &m_mirror;
     Duration m_staleLimit;
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -17,13 +17,13 @@
 
 /// This entry's copy of the pool's rows and of the operators' rows, kept up to date by following both tables.
 /// @tparam Platform Adapter of the platform.
-template <PoolPlatform Platform> class PoolMirror
+template <PoolBackground Platform> class PoolMirror
 {
 public:
     /// @param store Table service.
     /// @param loop Event loop.
     /// @param counters Counters.
-    PoolMirror(typename Platform::Store &store, EventLoop &loop, Counters &counters)
+    PoolMirror(typename Platform::Store &store, typename Platform::Loop &loop, Counters &counters)
         : m_store(store)
         , m_loop(loop)
         , m_counters(counters)
@@ -153,9 +153,9 @@
         }
         followed.available = available;
         if (available) {
-            Log::info("store_regained", {{"table", followed.table}, {"away_ms", toMilliseconds(EventLoop::now() - followed.provenAt)}});
+            Log::info("store_regained", {{"table", followed.table}, {"away_ms", toMilliseconds(m_loop.now() - followed.provenAt)}});
             if (&followed == &m_pool) {
-                m_ownerSeenAt = EventLoop::now(); // nothing was seen meanwhile, so silence of the owner proves nothing
+                m_ownerSeenAt = m_loop.now(); // nothing was seen meanwhile, so silence of the owner proves nothing
             }
         } else {
             Log::warning("store_lost", {{"table", followed.table}});
@@ -166,7 +166,7 @@
     void later(Followed &followed, void (PoolMirror::*step)(Followed &))
     {
         const std::uint64_t generation = followed.generation;
-        m_loop.timers().subscribe(EventLoop::now() + retryPause, [this, &followed, step, generation](TimePoint) {
+        m_loop.timers().subscribe(m_loop.now() + retryPause, [this, &followed, step, generation](TimePoint) {
             if (generation == followed.generation) {
                 (this->*step)(followed);
             }
@@ -175,7 +175,7 @@
 
     void readTable(Followed &followed)
     {
-        const TimePoint sentAt = EventLoop::now();
+        const TimePoint sentAt = m_loop.now();
         const std::uint64_t generation = followed.generation;
         m_store.readTable(followed.table, [this, &followed, sentAt, generation](const ScanResult &result) {
             if (generation != followed.generation) {
@@ -204,7 +204,7 @@
 
     void follow(Followed &followed)
     {
-        const TimePoint sentAt = EventLoop::now();
+        const TimePoint sentAt = m_loop.now();
         const std::uint64_t generation = followed.generation;
         m_store.follow(followed.table, followed.version, waitForChange, [this, &followed, sentAt, generation](const FollowResult &result) {
             if (generation != followed.generation) {
@@ -269,7 +269,7 @@
         }
         m_owner = *owner;
         m_ownerVersion = row.version;
-        m_ownerSeenAt = EventLoop::now();
+        m_ownerSeenAt = m_loop.now();
     }
 
     void adoptOperatorRow(const TableRow &row)
@@ -303,7 +303,7 @@
     }
 
     typename Platform::Store &m_store;
-    EventLoop &m_loop;
+    typename Platform::Loop &m_loop;
     Counters &m_counters;
     OperatorRows m_operatorRows;
     GraphTable m_jobs;
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -26,7 +26,7 @@
 /// A transaction whose answer is lost is sent again unchanged. If it had taken effect, the owner's row now shows its number; if it takes
 /// effect late, the row's version has moved on and it is refused.
 /// @tparam Platform Adapter of the platform.
-template <PoolPlatform Platform> class PoolOwner
+template <PoolBackground Platform> class PoolOwner
 {
 public:
     /// @param name Name of this entry.
@@ -36,7 +36,7 @@
     /// @param mirror Copy of the rows.
     /// @param scheduler Scheduler of the pool.
     /// @param counters Counters.
-    PoolOwner(std::string name, std::uint64_t incarnation, EventLoop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror,
+    PoolOwner(std::string name, std::uint64_t incarnation, typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror,
               PoolScheduler &scheduler, Counters &counters)
         : m_name(std::move(name))
         , m_incarnation(incarnation)
@@ -68,7 +68,7 @@
             lose("another entry owns the row");
         } else if (!m_scheduler.isOwned() && mine && row.epoch == m_takenEpoch && !m_drainRequested) {
             // The row has come back with everything that was written before it.
-            m_scheduler.own(row.epoch, now);
+            m_scheduler.own(row.epoch, m_takenFromNobody, now);
             m_mirror.setOwnsProgress(true);
             m_lastWrite = now;
             m_counters.add(Counter::PoolOwnershipTaken);
@@ -96,6 +96,7 @@
         PoolBatch content = batch ? std::move(*batch) : PoolBatch();
         OwnerRow row = m_mirror.owner();
         ++row.beat;
+        row.settled = m_scheduler.isSettled(now);
         if (release) {
             row.owner.clear();
         }
@@ -169,7 +170,7 @@
 
     void take(const OwnerRow &row, TimePoint now, Duration silence)
     {
-        const OwnerRow next{m_name, m_incarnation, row.epoch + 1, 0};
+        const OwnerRow next{m_name, m_incarnation, row.epoch + 1, row.owner.empty() && row.settled, 0};
         Log::info("ownership_try", {{"epoch", static_cast<std::int64_t>(next.epoch)},
                                     {"earlier_owner", row.owner},
                                     {"silent_ms", toMilliseconds(silence)}});
@@ -179,6 +180,7 @@
         transaction.writes.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), encodeOwnerRow(next)});
         m_sent = true;
         m_takenEpoch = next.epoch;
+        m_takenFromNobody = next.settled;
         m_retryAt = now + m_times.retry;
         m_store.commit(transaction, [this](const CommitResult &result) {
             m_sent = false;
@@ -201,7 +203,7 @@
         if (!m_scheduler.isOwned() || !m_pendingTransaction) {
             return;
         }
-        const TimePoint now = EventLoop::now();
+        const TimePoint now = m_loop.now();
         switch (result.state) {
         case CommitState::Committed:
             finish(result.version, sentAt, now);
@@ -260,7 +262,7 @@
     std::string m_name;
     std::uint64_t m_incarnation;
     OwnershipTimes m_times;
-    EventLoop &m_loop;
+    typename Platform::Loop &m_loop;
     typename Platform::Store &m_store;
     PoolMirror<Platform> &m_mirror;
     PoolScheduler &m_scheduler;
@@ -272,6 +274,7 @@
     bool m_sent = false;
     bool m_drainRequested = false;
     std::uint64_t m_takenEpoch = 0;
+    bool m_takenFromNobody = false; // the earlier owner had given the pool up
     TimePoint m_lastWrite{};
     TimePoint m_retryAt{};
 };
--- a/src/poolhost/PoolPlatform.h
+++ b/src/poolhost/PoolPlatform.h
@@ -112,15 +112,21 @@
     worker.stop(stop, onStopped);
 };
 
+/// What an entry's copy of the rows, its ownership and its answers to callers need: tests run them in virtual time.
+template <typename T>
+concept PoolBackground = RowStoreClient<typename T::Store> && requires(const TableRow &row, const std::string &text, typename T::Loop loop) {
+    { T::operatorRows() } -> std::same_as<OperatorRows>;
+    { T::decodeOperatorRow(row) } -> std::same_as<OperatorChange>;
+    { T::decodeSubmission(text) } -> std::same_as<Result<GraphSpec>>;
+    { loop.now() } -> std::same_as<TimePoint>;
+    { loop.timers() } -> std::same_as<TimerService &>;
+};
+
 /// Everything that differs from platform to platform.
 template <typename T>
-concept PoolPlatform = RowStoreClient<typename T::Store> && WorkerClient<typename T::Worker>
-    && requires(const TableRow &row, const ServerRequest &request, const PoolCall &call, const CallAnswer &answer, const std::string &text,
-                GraphSpec spec) {
-           { T::operatorRows() } -> std::same_as<OperatorRows>;
-           { T::decodeOperatorRow(row) } -> std::same_as<OperatorChange>;
+concept PoolPlatform = PoolBackground<T> && WorkerClient<typename T::Worker>
+    && requires(const ServerRequest &request, const PoolCall &call, const CallAnswer &answer) {
            { T::decodeCall(request) } -> std::same_as<std::optional<PoolCall>>;
-           { T::decodeSubmission(text) } -> std::same_as<Result<GraphSpec>>;
            { T::encodeAnswer(call, answer) } -> std::same_as<ServerResponse>;
            { T::isReadyQuestion(request) } -> std::same_as<bool>;
            { T::decodeAnnouncement(request) } -> std::same_as<Result<WorkerAnnouncement>>;
--- /dev/null
+++ b/standins/PoolWorkerModel.cpp
@@ -0,0 +1,198 @@
+#include "PoolWorkerModel.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr Duration longestLease = fromMilliseconds(6000);
+constexpr Duration gangPatience = fromMilliseconds(3000);
+constexpr Duration checkpointInterval = fromMilliseconds(1000);
+constexpr Duration failureAfter = fromMilliseconds(300);
+
+std::string checkpointText(Duration saved)
+{
+    return saved == Duration::zero() ? std::string() : std::to_string(1'000'000'000'000 + saved.count());
+}
+
+Duration savedIn(const std::string &checkpoint)
+{
+    return checkpoint.empty() ? Duration::zero() : Duration(std::stoll(checkpoint) - 1'000'000'000'000);
+}
+
+} // namespace
+
+PoolWorkerModel::PoolWorkerModel(WorkerAnnouncement announcement, std::function<ModelTask(const TaskName &)> tasks, Observer observer)
+    : m_announcement(std::move(announcement))
+    , m_tasks(std::move(tasks))
+    , m_observer(std::move(observer))
+{
+}
+
+Duration PoolWorkerModel::clock(TimePoint now) const
+{
+    return now - m_bornAt;
+}
+
+Resources PoolWorkerModel::used() const
+{
+    Resources sum;
+    for (const auto &[run, state] : m_running) {
+        sum += state.task.demand;
+    }
+    return sum;
+}
+
+void PoolWorkerModel::end(const RunName &run, RunEnding ending, Duration saved)
+{
+    m_running.erase(run);
+    std::uint32_t &closed = m_closed[run.task];
+    closed = std::max(closed, run.run);
+    m_ends.push_back({m_nextEnd++, run, ending, checkpointText(saved)});
+    m_observer.onEnd(run, ending, *this);
+}
+
+void PoolWorkerModel::advance(TimePoint now)
+{
+    const std::map<RunName, Run> before = m_running;
+    if (!before.empty() && clock(now) > m_leaseEnd) {
+        for (const auto &[run, state] : before) {
+            end(run, RunEnding::LeaseLapsed, state.saved);
+        }
+        return;
+    }
+    for (const auto &[run, state] : before) {
+        Run &running = m_running.at(run);
+        const bool whole = running.task.members <= 1 || m_observer.presentMembers(run) >= running.task.members;
+        const Duration passed = now - running.workedUntil;
+        running.workedUntil = now;
+        if (!whole) {
+            if (now - running.startedAt > gangPatience) {
+                end(run, RunEnding::WaitedAlone, running.saved);
+            }
+            continue;
+        }
+        if (m_failing && now - running.startedAt > failureAfter) {
+            end(run, RunEnding::Failed, running.saved);
+            continue;
+        }
+        running.left -= Duration(static_cast<std::int64_t>(static_cast<double>(passed.count()) / m_slowness));
+        if (running.task.checkpoints) {
+            const Duration done = running.task.work - running.left;
+            running.saved = done / checkpointInterval * checkpointInterval;
+        }
+        if (running.left <= Duration::zero()) {
+            end(run, RunEnding::Succeeded, running.saved);
+        }
+    }
+}
+
+std::optional<WorkerLists> PoolWorkerModel::renew(const RenewWorker &action, TimePoint now)
+{
+    if (action.life != m_announcement.life || action.epoch < m_epoch) {
+        return std::nullopt;
+    }
+    m_epoch = action.epoch;
+    if (clock(now) > m_leaseEnd) {
+        for (const RunEnd &end : m_ends) {
+            m_lapsedEnds.insert(end.number);
+        }
+    }
+    if (action.leaseEnd) {
+        m_leaseEnd = std::max(m_leaseEnd, std::min(*action.leaseEnd, clock(now) + longestLease));
+    }
+    std::erase_if(m_ends, [&](const RunEnd &end) {
+        if (end.number > action.acknowledgedEnd) {
+            return false;
+        }
+        if (!m_lapsedEnds.contains(end.number)) {
+            m_observer.onAcknowledged(end.run, end.ending, *this);
+        }
+        return true;
+    });
+    WorkerLists lists;
+    lists.bornUnixMilliseconds = m_announcement.life.bornUnixMilliseconds;
+    lists.clock = clock(now);
+    for (const auto &[run, state] : m_running) {
+        lists.runs.push_back({run, false, checkpointText(state.saved)});
+    }
+    lists.ends = m_ends;
+    return lists;
+}
+
+std::pair<OrderOutcome, std::string> PoolWorkerModel::start(const StartTask &action, TimePoint now)
+{
+    if (action.life != m_announcement.life) {
+        return {OrderOutcome::OtherLife, "other life"};
+    }
+    if (action.epoch < m_epoch) {
+        return {OrderOutcome::Refused, "fenced"};
+    }
+    m_epoch = action.epoch;
+    if (m_running.contains(action.run)) {
+        return {OrderOutcome::Done, ""};
+    }
+    const auto closed = m_closed.find(action.run.task);
+    if (closed != m_closed.end() && action.run.run <= closed->second) {
+        return {OrderOutcome::Refused, "old"};
+    }
+    if (clock(now) > action.startBy) {
+        return {OrderOutcome::Refused, "late"};
+    }
+    m_leaseEnd = std::max(m_leaseEnd, action.startBy);
+    Run run;
+    run.task = m_tasks(action.run.task);
+    run.startedAt = now;
+    run.workedUntil = now;
+    run.saved = savedIn(action.checkpoint);
+    run.left = run.task.work - run.saved;
+    m_running[action.run] = run;
+    m_observer.onStart(action.run, *this);
+    return {OrderOutcome::Done, ""};
+}
+
+OrderOutcome PoolWorkerModel::stop(const StopTask &action, TimePoint now)
+{
+    (void)now;
+    if (action.life != m_announcement.life) {
+        return OrderOutcome::OtherLife;
+    }
+    if (action.epoch < m_epoch) {
+        return OrderOutcome::Refused;
+    }
+    m_epoch = action.epoch;
+    const auto running = m_running.find(action.run);
+    if (running != m_running.end()) {
+        end(action.run, RunEnding::Stopped, running->second.saved);
+    } else {
+        std::uint32_t &closed = m_closed[action.run.task];
+        closed = std::max(closed, action.run.run);
+    }
+    return OrderOutcome::Done;
+}
+
+void PoolWorkerModel::rebirth(TimePoint now)
+{
+    const std::map<RunName, Run> before = m_running;
+    m_running.clear();
+    for (const auto &[run, state] : before) {
+        m_observer.onEnd(run, RunEnding::WorkerGone, *this);
+    }
+    m_closed.clear();
+    m_ends.clear();
+    m_lapsedEnds.clear();
+    m_nextEnd = 1;
+    m_epoch = 0;
+    m_leaseEnd = {};
+    m_bornAt = now;
+    m_announcement.life.bornUnixMilliseconds += 1;
+    m_announcement.sequence = 0;
+    m_announcement.draining = false;
+    m_failing = false;
+    m_slowness = 1.0;
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/standins/PoolWorkerModel.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "graph/Resources.h"
+#include "pool/WorkerSupervisor.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+
+/// What a task needs and how long it works, by its name; the model looks it up as a real worker would read its image.
+struct ModelTask {
+    Resources demand; ///< What it holds.
+    Duration work{}; ///< How long it works.
+    std::uint32_t members = 1; ///< Tasks of its gang; 1 for a task by itself.
+    bool checkpoints = false; ///< It saves its progress.
+};
+
+/// A worker in memory, as its page describes it: leases on its own clock, fencing, starts and stops that may be repeated or come late, and
+/// ends that are listed until they are acknowledged.
+class PoolWorkerModel
+{
+public:
+    /// Tells of a start and of an end, for checks.
+    struct Observer {
+        std::function<void(const RunName &, const PoolWorkerModel &)> onStart; ///< A run has begun.
+        std::function<void(const RunName &, RunEnding, const PoolWorkerModel &)> onEnd; ///< A run has ended.
+        std::function<void(const RunName &, RunEnding, const PoolWorkerModel &)> onAcknowledged; ///< An end was acknowledged.
+        std::function<std::uint32_t(const RunName &)> presentMembers; ///< How many members of the run's gang are present anywhere.
+    };
+
+    /// @param announcement What the worker says of itself.
+    /// @param tasks What tasks need.
+    /// @param observer Told of starts and ends.
+    PoolWorkerModel(WorkerAnnouncement announcement, std::function<ModelTask(const TaskName &)> tasks, Observer observer);
+
+    /// Lets time pass: leases lapse and tasks end.
+    /// @param now Current time.
+    void advance(TimePoint now);
+
+    /// @param action What the agent asks for.
+    /// @param now Current time.
+    /// @return The lists, or nothing for another life or an earlier owner.
+    std::optional<WorkerLists> renew(const RenewWorker &action, TimePoint now);
+
+    /// @param action Start of a task.
+    /// @param now Current time.
+    /// @return How it went, with the reason of a refusal.
+    std::pair<OrderOutcome, std::string> start(const StartTask &action, TimePoint now);
+
+    /// @param action Stop of a task.
+    /// @param now Current time.
+    /// @return How it went.
+    OrderOutcome stop(const StopTask &action, TimePoint now);
+
+    /// Ends the present life: everything is gone, and a new life begins under the same id.
+    /// @param now Current time.
+    void rebirth(TimePoint now);
+
+    /// @return What the worker says of itself, with a new number.
+    WorkerAnnouncement announce()
+    {
+        ++m_announcement.sequence;
+        return m_announcement;
+    }
+
+    /// Makes tasks fail, stand still, or work slowly.
+    /// @param factor How many times longer work takes.
+    void setSlowness(double factor)
+    {
+        m_slowness = factor;
+    }
+
+    /// @param failing Whether each run fails after a moment.
+    void setFailing(bool failing)
+    {
+        m_failing = failing;
+    }
+
+    /// Begins to drain.
+    /// @param leavesAfter Time until the worker leaves.
+    void drain(Duration leavesAfter)
+    {
+        m_announcement.draining = true;
+        m_announcement.leavesAfter = leavesAfter;
+    }
+
+    /// @param run A run.
+    /// @return Whether it is on this worker now.
+    bool isRunning(const RunName &run) const
+    {
+        return m_running.contains(run);
+    }
+
+    /// @return Runs that are on this worker now.
+    std::size_t runningCount() const
+    {
+        return m_running.size();
+    }
+
+    /// @return What the worker says of itself.
+    const WorkerAnnouncement &announcement() const
+    {
+        return m_announcement;
+    }
+
+    /// @return What its runs hold.
+    Resources used() const;
+
+private:
+    struct Run {
+        TimePoint startedAt{};
+        TimePoint workedUntil{};
+        Duration left{};
+        Duration saved{};
+        ModelTask task;
+    };
+
+    Duration clock(TimePoint now) const;
+    void end(const RunName &run, RunEnding ending, Duration saved);
+
+    WorkerAnnouncement m_announcement;
+    std::function<ModelTask(const TaskName &)> m_tasks;
+    Observer m_observer;
+    std::map<RunName, Run> m_running;
+    std::map<TaskName, std::uint32_t> m_closed; // highest run that was stopped or has ended
+    std::vector<RunEnd> m_ends;
+    std::set<std::uint64_t> m_lapsedEnds; // the lease lapsed before they were acknowledged: a new start is allowed
+    std::uint64_t m_nextEnd = 1;
+    std::uint64_t m_epoch = 0;
+    Duration m_leaseEnd{};
+    TimePoint m_bornAt{};
+    double m_slowness = 1.0;
+    bool m_failing = false;
+};
+
+} // namespace banyanlock
--- /dev/null
+++ b/tests/pool/PoolFaultTest.cpp
@@ -0,0 +1,260 @@
+#include "PoolWorld.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace banyanlock;
+
+namespace
+{
+
+constexpr Duration settle = fromMilliseconds(3000);
+
+void checkSound(const PoolWorld &world)
+{
+    for (const std::string &violation : world.violations()) {
+        BOOST_ERROR(violation);
+    }
+}
+
+void checkCompleted(PoolWorld &world, const std::string &job)
+{
+    BOOST_TEST(static_cast<int>(world.stateOf(job)) == static_cast<int>(GraphState::Completed));
+    checkSound(world);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PoolFaults)
+
+BOOST_AUTO_TEST_CASE(runningTasksLiveThroughTheDeathOfTheOwner)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(12, 1, 12000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.killEntry(world.owner());
+    world.run(fromMilliseconds(14000));
+    BOOST_TEST(world.startsOf("job1") == 12U);
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(runningTasksLiveThroughAPlannedStopOfTheOwner)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(12, 1, 6000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.drainEntry(world.owner());
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(world.owner() < 3U);
+    world.run(fromMilliseconds(6000));
+    BOOST_TEST(world.startsOf("job1") == 12U);
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(runningTasksLiveThroughAnOutageOfTheStore)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(12, 1, 15000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.rows().down = true;
+    world.run(fromMilliseconds(8000));
+    world.rows().down = false;
+    world.run(fromMilliseconds(9000));
+    BOOST_TEST(world.startsOf("job1") == 12U);
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(tasksOfACutOffWorkerStartElsewhereOnlyAfterTheirLease)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(24, 1, 9000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.cutAgent(1, true);
+    world.run(fromMilliseconds(25000));
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(anAgentThatLostItsWorkerDoesNotHoldItsTasksForEver)
+{
+    // Found by himal-recall-grown, scale-1: the worker goes without a word, and its agent restarts.
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(48, 1, 2000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.cutWorker(2, true);
+    world.restartAgent(2);
+    world.run(fromMilliseconds(14000));
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(aRemovedInstanceIsReplacedByTheOthers)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(36, 1, 3000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.removeAgent(0);
+    world.run(fromMilliseconds(20000));
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(aNewLifeUnderAnOldIdStartsAnew)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(24, 1, 4000)), "normal");
+    world.run(fromMilliseconds(1000));
+    world.worker(1).rebirth(world.now());
+    world.run(fromMilliseconds(9000));
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(aFrozenOwnerDoesNoHarmWhenItWakes)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(24, 1, 4000)), "normal");
+    world.run(fromMilliseconds(500));
+    const std::size_t owner = world.owner();
+    world.freezeEntry(owner, true);
+    world.submit("job2", makeJob(makeStep(24, 1, 4000)), "normal", (owner + 1) % 3);
+    world.run(fromMilliseconds(7000));
+    world.freezeEntry(owner, false);
+    world.run(fromMilliseconds(12000));
+    checkCompleted(world, "job1");
+    checkCompleted(world, "job2");
+}
+
+BOOST_AUTO_TEST_CASE(lostHistoryIsReadAnew)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.cutEntryFromStore(0, true);
+    world.cutEntryFromStore(1, true);
+    world.submit("job1", makeJob(makeStep(2, 1, 1000)), "normal", 2);
+    world.run(fromMilliseconds(500));
+    world.rows().historyFrom = world.rows().version;
+    world.cutEntryFromStore(0, false);
+    world.cutEntryFromStore(1, false);
+    world.run(fromMilliseconds(9000));
+    checkCompleted(world, "job1");
+}
+
+BOOST_AUTO_TEST_CASE(randomFaultsBreakNoRule)
+{
+    const char *first = std::getenv("BANYANLOCK_FIRST_SEED");
+    const char *count = std::getenv("BANYANLOCK_SEEDS");
+    const std::uint64_t firstSeed = first == nullptr ? 1 : std::strtoull(first, nullptr, 10);
+    const std::uint64_t seeds = count == nullptr ? 40 : std::strtoull(count, nullptr, 10);
+    for (std::uint64_t seed = firstSeed; seed < firstSeed + seeds; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            WorldOptions options;
+            options.seed = seed;
+            options.lostMessages = seed % 3 == 0 ? 0.05 : 0.0;
+            options.lateOrders = seed % 4 == 0 ? 0.1 : 0.0;
+            PoolWorld world(options);
+            Random random(seed * 7919);
+            world.run(settle);
+            std::uint32_t jobs = 0;
+            for (int round = 0; round < 60; ++round) {
+                if (random.chance(0.5)) {
+                    const std::string id = "job" + std::to_string(jobs++);
+                    StepSpec step = makeStep(1 + random.below(8), 1 + random.below(4), 500 + random.below(4000));
+                    step.gang = random.chance(0.4);
+                    step.checkpoints = random.chance(0.3);
+                    GraphSpec spec = makeJob(step);
+                    if (random.chance(0.3)) {
+                        StepSpec next = makeStep(2, 1, 700);
+                        next.after = {0};
+                        spec.steps.push_back(next);
+                    }
+                    static const std::vector<std::string> queues{"urgent", "normal", "bulk"};
+                    world.submit(id, spec, queues[random.below(3)], random.below(3));
+                }
+                const std::size_t entry = random.below(3);
+                const std::size_t worker = random.below(6);
+                switch (random.below(14)) {
+                case 0:
+                    world.killEntry(entry);
+                    break;
+                case 1:
+                    world.cutEntryFromStore(entry, true);
+                    break;
+                case 2:
+                    world.cutEntryFromAgents(entry, true);
+                    break;
+                case 3:
+                    world.restartAgent(worker);
+                    break;
+                case 4:
+                    world.cutAgent(worker, true);
+                    break;
+                case 5:
+                    world.worker(worker).rebirth(world.now());
+                    break;
+                case 6:
+                    world.freezeEntry(entry, true);
+                    break;
+                case 7:
+                    world.freezeAgent(worker, true);
+                    break;
+                case 8:
+                    world.rows().lostAnswers = random.chance(0.5) ? 0.3 : 0.0;
+                    world.rows().lateWrites = random.chance(0.5) ? 0.2 : 0.0;
+                    break;
+                case 9:
+                    world.rows().down = random.chance(0.5);
+                    break;
+                case 10:
+                    world.rows().historyFrom = world.rows().version;
+                    break;
+                case 11:
+                    if (jobs > 0) {
+                        world.cancel("job" + std::to_string(random.below(jobs)), entry);
+                    }
+                    break;
+                default:
+                    world.rows().down = false;
+                    world.rows().lostAnswers = 0.0;
+                    world.rows().lateWrites = 0.0;
+                    for (std::size_t index = 0; index < 6; ++index) {
+                        world.cutAgent(index, false);
+                        world.freezeAgent(index, false);
+                        if (index < 3) {
+                            world.freezeEntry(index, false);
+                            world.cutEntryFromStore(index, false);
+                            world.cutEntryFromAgents(index, false);
+                        }
+                    }
+                }
+                world.run(fromMilliseconds(100 + random.below(1500)));
+            }
+            world.rows().down = false;
+            world.rows().lostAnswers = 0.0;
+            world.rows().lateWrites = 0.0;
+            for (std::size_t index = 0; index < 6; ++index) {
+                world.cutAgent(index, false);
+                world.freezeAgent(index, false);
+                if (index < 3) {
+                    world.freezeEntry(index, false);
+                    world.cutEntryFromStore(index, false);
+                    world.cutEntryFromAgents(index, false);
+                }
+            }
+            world.run(fromMilliseconds(90000));
+            checkSound(world);
+            for (std::uint32_t job = 0; job < jobs; ++job) {
+                const std::string id = "job" + std::to_string(job);
+                if (world.answerFor(id).outcome == CallOutcome::Accepted) {
+                    BOOST_TEST(hasEnded(world.stateOf(id)), id << " has not ended");
+                }
+            }
+        }
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/pool/PoolLifeTest.cpp
@@ -0,0 +1,178 @@
+#include "PoolWorld.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace banyanlock;
+
+namespace
+{
+
+void checkSound(const PoolWorld &world)
+{
+    for (const std::string &violation : world.violations()) {
+        BOOST_ERROR(violation);
+    }
+}
+
+constexpr Duration settle = fromMilliseconds(3000);
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PoolLife)
+
+BOOST_AUTO_TEST_CASE(stepsRunInOrderAndTheJobCompletes)
+{
+    PoolWorld world({});
+    world.run(settle);
+    GraphSpec spec = makeJob(makeStep(4, 1, 1000));
+    StepSpec second = makeStep(3, 2, 800);
+    second.after = {0};
+    second.gang = true;
+    spec.steps.push_back(second);
+    world.submit("job1", spec, "normal", 1);
+    world.run(fromMilliseconds(500));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Accepted));
+    world.run(fromMilliseconds(5000));
+    BOOST_TEST(static_cast<int>(world.stateOf("job1")) == static_cast<int>(GraphState::Completed));
+    BOOST_TEST(world.startsOf("job1") == 7U);
+    checkSound(world);
+}
+
+BOOST_AUTO_TEST_CASE(aRepeatedSubmissionRemainsOneJob)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 0);
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 1);
+    world.run(fromMilliseconds(4000));
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 2);
+    world.run(fromMilliseconds(4000));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Accepted));
+    BOOST_TEST(world.startsOf("job1") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(acceptedAtOneEntryIsKnownAtOnceAtAnother)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 0);
+    while (world.answerFor("job1").outcome != CallOutcome::Accepted) {
+        world.run(fromMilliseconds(1));
+    }
+    world.ask("job1", 1);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Answered));
+    world.ask("unknown", 1);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("unknown").outcome) == static_cast<int>(CallOutcome::NoSuchJob));
+}
+
+BOOST_AUTO_TEST_CASE(aCancelledJobIsStoppedWithinThreeSeconds)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(6, 1, 20000)), "normal");
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(world.startsOf("job1") == 6U);
+    world.cancel("job1", 2);
+    world.run(fromMilliseconds(1000));
+    for (std::size_t worker = 0; worker < world.workerCount(); ++worker) {
+        BOOST_TEST(world.worker(worker).runningCount() == 0U);
+    }
+    world.ask("job1", 1);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").state) == static_cast<int>(GraphState::Cancelled));
+}
+
+BOOST_AUTO_TEST_CASE(anUrgentJobWithinTheGuaranteeStartsOnAFullPool)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("bulk", makeJob(makeStep(48, 1, 60000)), "bulk");
+    world.run(fromMilliseconds(2000));
+    BOOST_TEST(world.startsOf("bulk") == 48U);
+    StepSpec step = makeStep(2, 8, 2000);
+    step.gang = true;
+    step.preferOneRack = true;
+    const TimePoint submitted = world.now();
+    world.submit("urgent", makeJob(step), "urgent");
+    world.run(fromMilliseconds(2700));
+    BOOST_REQUIRE(world.firstStart("urgent").has_value());
+    BOOST_TEST(toMilliseconds(*world.firstStart("urgent") - submitted) < 2700);
+    checkSound(world);
+}
+
+BOOST_AUTO_TEST_CASE(nothingStartsInAFailureDomainThatIsOut)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.setDomainOut("domain-0", true);
+    world.run(fromMilliseconds(100));
+    world.submit("job1", makeJob(makeStep(48, 1, 1000)), "normal");
+    world.run(fromMilliseconds(800));
+    BOOST_TEST(world.worker(0).runningCount() == 0U);
+    BOOST_TEST(world.worker(3).runningCount() == 0U);
+    BOOST_TEST(world.worker(1).runningCount() == 8U);
+    world.setDomainOut("domain-0", false);
+    world.run(fromMilliseconds(800));
+    BOOST_TEST(world.worker(0).runningCount() == 8U);
+    world.run(fromMilliseconds(3000));
+    BOOST_TEST(static_cast<int>(world.stateOf("job1")) == static_cast<int>(GraphState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(aKeyThatWasTakenAwayLetsNothingIn)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.setKeys({"other"});
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal"); // the entry has not read the change yet
+    world.run(fromMilliseconds(500));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::KeyRefused));
+    BOOST_TEST(world.startsOf("job1") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(anEntryThatTheStoreTurnsAwayRefusesAtOnce)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(1, 1, 60000)), "normal");
+    world.run(fromMilliseconds(500));
+    world.cutEntryFromStore(2, true);
+    world.run(fromMilliseconds(5200));
+    world.ask("job1", 2);
+    world.run(fromMilliseconds(10));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::NotReady));
+    BOOST_TEST(toMilliseconds(world.answerFor("job1").retryAfter) > 0);
+}
+
+BOOST_AUTO_TEST_CASE(aDueTimeIsKept)
+{
+    PoolWorld world({});
+    world.run(settle);
+    GraphSpec spec = makeJob(makeStep(1, 1, 300));
+    const std::int64_t due = 1'700'000'000'000 + toMilliseconds(world.now().time_since_epoch()) + 3000;
+    spec.repetition = {3, due, 1000};
+    world.submit("job1", spec, "normal");
+    world.run(fromMilliseconds(2990));
+    BOOST_TEST(world.startsOf("job1") == 0U);
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(world.startsOf("job1") == 1U);
+    world.run(fromMilliseconds(3500));
+    BOOST_TEST(world.startsOf("job1") == 3U);
+    BOOST_TEST(static_cast<int>(world.stateOf("job1")) == static_cast<int>(GraphState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(aTaskThatFailsTooOftenEndsItsJob)
+{
+    WorldOptions options;
+    options.workers = 1;
+    PoolWorld world(options);
+    world.run(settle);
+    world.worker(0).setFailing(true);
+    world.submit("job1", makeJob(makeStep(1, 1, 5000)), "normal");
+    world.run(fromMilliseconds(20000));
+    BOOST_TEST(static_cast<int>(world.stateOf("job1")) == static_cast<int>(GraphState::Failed));
+    BOOST_TEST(world.startsOf("job1") == 3U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/pool/PoolWorld.cpp
@@ -0,0 +1,658 @@
+#include "PoolWorld.h"
+
+#include "graph/GraphCodec.h"
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr Duration workerStep = fromMilliseconds(50);
+constexpr Duration orderLimit = fromMilliseconds(700);
+constexpr std::int64_t epochStart = 1'700'000'000'000; // time of day at the start of virtual time
+
+Resources workerCapacity()
+{
+    return {128000, 256000, 8};
+}
+
+std::string agentAddress(std::size_t index)
+{
+    return "10.0.0." + std::to_string(index + 1) + ":7000";
+}
+
+std::string domainOf(std::size_t worker)
+{
+    return "domain-" + std::to_string(worker % 3);
+}
+
+} // namespace
+
+StepSpec makeStep(std::uint32_t tasks, std::int64_t accelerators, std::int64_t milliseconds)
+{
+    StepSpec step;
+    step.tasks = tasks;
+    step.demand = {8000, 16000, accelerators};
+    step.estimate = fromMilliseconds(milliseconds);
+    return step;
+}
+
+GraphSpec makeJob(const StepSpec &step)
+{
+    GraphSpec spec;
+    spec.payload = "work";
+    spec.steps = {step};
+    return spec;
+}
+
+OperatorRows WorldPlatform::operatorRows()
+{
+    return {"operators", "configuration", "out/"};
+}
+
+OperatorChange WorldPlatform::decodeOperatorRow(const TableRow &row)
+{
+    if (row.key.starts_with("out/")) {
+        return DomainChange{row.key.substr(4), !row.erased};
+    }
+    const nlohmann::json json = nlohmann::json::parse(row.value);
+    PoolConfiguration configuration;
+    configuration.version = json.at("version").get<std::uint64_t>();
+    std::uint32_t priority = 0;
+    for (const char *name : {"urgent", "normal", "bulk"}) {
+        constexpr std::uint32_t attempts = 3;
+        configuration.queues.push_back(
+            {name, "host", "/" + std::string(name) + "/", "service", priority++, attempts, 2.0, fromMilliseconds(500), false});
+    }
+    constexpr std::int64_t guaranteed = 16;
+    configuration.workspaces.push_back({"workspace", json.at("keys").get<std::vector<std::string>>(), guaranteed});
+    return configuration;
+}
+
+Result<GraphSpec> WorldPlatform::decodeSubmission(const std::string &text)
+{
+    GraphRecord record;
+    if (!decodeGraphSpec(text, record)) {
+        return Error{ResultCode::InvalidJob, "unreadable"};
+    }
+    return record.spec;
+}
+
+struct PoolWorld::Entry {
+    Entry(PoolWorld &world, const std::string &entryName, std::uint64_t incarnation)
+        : name(entryName)
+        , loop(world.m_now)
+        , store(loop, world.m_rows, world.m_random)
+        , mirror(store, loop, world.m_counters)
+        , scheduler(mirror.jobs(), mirror.operators(), WorldPlatform::operatorRows(), PoolTimes(), PlannerPolicy(), world.m_counters)
+        , owner(entryName, incarnation, loop, store, mirror, scheduler, world.m_counters)
+        , api(loop, store, mirror, fromMilliseconds(5000), world.m_counters)
+    {
+    }
+
+    std::string name;
+    VirtualLoop loop;
+    VirtualStore store;
+    PoolMirror<WorldPlatform> mirror;
+    PoolScheduler scheduler;
+    PoolOwner<WorldPlatform> owner;
+    PoolApi<WorldPlatform> api;
+    bool cutFromAgents = false;
+    bool dead = false;
+};
+
+struct PoolWorld::Agent {
+    Agent(PoolWorld &world, std::size_t number)
+        : index(number)
+        , address(agentAddress(number))
+        , loop(std::make_unique<VirtualLoop>(world.m_now))
+    {
+    }
+
+    struct Waiting {
+        SuperviseRequest request;
+        std::function<void(WorkerStatus)> reply;
+        TimePoint until{};
+    };
+
+    std::size_t index;
+    std::string address;
+    std::unique_ptr<VirtualLoop> loop;
+    std::unique_ptr<WorkerSupervisor> supervisor;
+    std::unique_ptr<PoolWorkerModel> worker;
+    std::list<Waiting> waiting;
+    std::uint64_t generation = 0; // counts the agent's processes
+    bool cut = false; // from the entries
+    bool workerCut = false; // from its worker
+    bool gone = false; // with its worker
+};
+
+PoolWorld::PoolWorld(WorldOptions options)
+    : m_options(options)
+    , m_random(options.seed)
+{
+    writeConfiguration();
+    m_agents.resize(options.workers);
+    for (std::size_t index = 0; index < options.workers; ++index) {
+        m_agents[index] = std::make_unique<Agent>(*this, index);
+        WorkerAnnouncement announcement;
+        announcement.life = {"worker-" + std::to_string(index), epochStart};
+        announcement.service = "service";
+        announcement.failureDomain = domainOf(index);
+        announcement.capacity = workerCapacity();
+        announcement.labels = {"kind", "rack-" + std::to_string(index / 3)};
+        m_agents[index]->worker = std::make_unique<PoolWorkerModel>(
+            announcement,
+            [this](const TaskName &task) {
+                return taskOf(task);
+            },
+            makeObserver());
+        makeAgent(index);
+    }
+    m_entries.resize(options.entries);
+    for (std::size_t index = 0; index < options.entries; ++index) {
+        makeEntry(index);
+    }
+    m_network.repeat(workerStep, [this](TimePoint now) {
+        for (const std::unique_ptr<Agent> &agent : m_agents) {
+            agent->worker->advance(now);
+        }
+    });
+    m_network.repeat(fromMilliseconds(1000), [this](TimePoint now) {
+        for (const std::unique_ptr<Agent> &agent : m_agents) {
+            if (!agent->gone && !agent->workerCut) {
+                Agent *target = agent.get();
+                agent->loop->after(Duration::zero(), [target, announcement = agent->worker->announce(), now] {
+                    target->supervisor->onAnnouncement(announcement, now);
+                });
+            }
+        }
+    });
+}
+
+PoolWorld::~PoolWorld() = default;
+
+std::vector<VirtualLoop *> PoolWorld::runningLoops() const
+{
+    std::vector<VirtualLoop *> loops{const_cast<VirtualLoop *>(&m_network)};
+    for (const std::unique_ptr<Entry> &entry : m_entries) {
+        loops.push_back(&entry->loop);
+    }
+    for (const std::unique_ptr<Agent> &agent : m_agents) {
+        if (!agent->gone) {
+            loops.push_back(agent->loop.get());
+        }
+    }
+    std::erase_if(loops, [](const VirtualLoop *loop) {
+        return loop->isFrozen();
+    });
+    return loops;
+}
+
+void PoolWorld::run(Duration span)
+{
+    const TimePoint end = m_now + span;
+    while (true) {
+        TimePoint next = end;
+        VirtualLoop *nextLoop = nullptr;
+        for (VirtualLoop *loop : runningLoops()) {
+            const std::optional<TimePoint> deadline = loop->timers().nextDeadline();
+            if (deadline && *deadline < next) {
+                next = *deadline;
+                nextLoop = loop;
+            }
+        }
+        if (nextLoop == nullptr) {
+            break;
+        }
+        m_now = std::max(m_now, next);
+        nextLoop->runDue();
+    }
+    m_now = end;
+}
+
+void PoolWorld::makeEntry(std::size_t index)
+{
+    if (m_entries[index]) {
+        m_entries[index]->store.end();
+        m_entries[index]->dead = true;
+        m_ended.push_back(std::move(m_entries[index]));
+    }
+    m_entries[index] = std::make_unique<Entry>(*this, "entry-" + std::to_string(index), m_random.bits());
+    Entry &entry = *m_entries[index];
+    entry.mirror.setListener([&entry, this] {
+        entry.owner.onRows(m_now);
+    });
+    entry.loop.setFlush([this, &entry] {
+        flushEntry(entry);
+    });
+    entry.mirror.start();
+    entry.owner.start();
+    entry.loop.repeat(fromMilliseconds(200), [&entry](TimePoint) {
+        entry.scheduler.onTick();
+    });
+}
+
+void PoolWorld::makeAgent(std::size_t index)
+{
+    Agent &agent = *m_agents[index];
+    agent.loop = std::make_unique<VirtualLoop>(m_now);
+    ++agent.generation;
+    agent.waiting.clear();
+    agent.supervisor = std::make_unique<WorkerSupervisor>(m_random.bits(), SupervisorTimes(), m_counters);
+    agent.loop->setFlush([this, &agent] {
+        flushAgent(agent);
+    });
+    agent.loop->after(fromMilliseconds(5), [] {
+    });
+    TableTransaction registration;
+    registration.writes = {{std::string(PoolRows::table), PoolRows::keyOf(PoolRows::workerPrefix, agent.address), "{}"}};
+    m_rows.commit(registration);
+}
+
+void PoolWorld::flushEntry(Entry &entry)
+{
+    entry.owner.onRows(m_now);
+    if (entry.mirror.takeChanged()) {
+        entry.scheduler.onRows();
+    }
+    if (entry.scheduler.isOwned()) {
+        for (const std::string &agent : entry.mirror.agents()) {
+            entry.scheduler.addAgent(agent);
+        }
+    }
+    entry.scheduler.allowRenewals(entry.owner.mayRenew(m_now));
+    if (entry.scheduler.isStepDue()) {
+        entry.scheduler.step(m_now, epochStart + toMilliseconds(m_now.time_since_epoch()));
+    }
+    entry.owner.flush(m_now);
+    for (CallAgent &call : entry.scheduler.takeCalls()) {
+        sendCall(entry, std::move(call));
+    }
+}
+
+void PoolWorld::sendCall(Entry &entry, CallAgent call)
+{
+    const TimePoint sentAt = m_now;
+    const auto answered = std::make_shared<bool>(false);
+    const std::string address = call.agent;
+    const std::uint64_t number = call.call;
+    const auto answer = [this, &entry, address, number, sentAt, answered](const WorkerStatus *status) {
+        if (!*answered) {
+            *answered = true;
+            entry.scheduler.onAnswer(address, number, status, sentAt, m_now);
+        }
+    };
+    entry.loop.after(call.timeout, [answer] {
+        answer(nullptr);
+    });
+    const auto found = std::ranges::find_if(m_agents, [&](const std::unique_ptr<Agent> &agent) {
+        return agent->address == address;
+    });
+    if (found == m_agents.end() || m_random.chance(m_options.lostMessages)) {
+        return;
+    }
+    Agent *agent = found->get();
+    const auto travel = fromMilliseconds(1 + m_random.below(40));
+    m_network.after(travel, [this, &entry, agent, call = std::move(call), answer] {
+        if (agent->gone || agent->cut || entry.cutFromAgents) {
+            return;
+        }
+        deliver(*agent, agent->generation, call.request, [this, &entry, agent, answer](const WorkerStatus &status) {
+            if (m_random.chance(m_options.lostMessages) || agent->cut || entry.cutFromAgents || entry.dead) {
+                return;
+            }
+            entry.loop.after(fromMilliseconds(1 + m_random.below(40)), [answer, status] {
+                answer(&status);
+            });
+        });
+    });
+}
+
+void PoolWorld::deliver(Agent &agent, std::uint64_t generation, const SuperviseRequest &request, std::function<void(WorkerStatus)> reply)
+{
+    agent.loop->after(Duration::zero(), [this, &agent, generation, request, reply = std::move(reply)] {
+        if (generation != agent.generation) {
+            return;
+        }
+        const bool taken = agent.supervisor->onSupervise(request, m_now);
+        agent.waiting.push_back({request, reply, taken ? m_now + request.wait : m_now});
+    });
+}
+
+void PoolWorld::flushAgent(Agent &agent)
+{
+    agent.supervisor->step(m_now);
+    for (const SupervisorAction &action : agent.supervisor->takeActions()) {
+        carryOut(agent, action);
+    }
+    const WorkerStatus status = agent.supervisor->status(m_now, epochStart + toMilliseconds(m_now.time_since_epoch()));
+    std::erase_if(agent.waiting, [&](const Agent::Waiting &call) {
+        const bool due = m_now >= call.until || call.request.knownIncarnation != status.agentIncarnation
+            || call.request.knownStatus != status.number || call.request.epoch != status.highestEpoch;
+        if (due) {
+            call.reply(status);
+        }
+        return due;
+    });
+    TimePoint next = agent.supervisor->nextStep(m_now);
+    for (const Agent::Waiting &call : agent.waiting) {
+        next = std::min(next, call.until);
+    }
+    const std::optional<TimePoint> armed = agent.loop->timers().nextDeadline();
+    if (!armed || *armed > next) {
+        agent.loop->after(next - m_now, [] {
+        });
+    }
+}
+
+void PoolWorld::finishRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, TimePoint until)
+{
+    Agent &agent = *m_agents[index];
+    if (agent.workerCut) {
+        m_network.after(orderLimit, [&agent, generation, action, this] {
+            agent.loop->after(Duration::zero(), [&agent, generation, action, this] {
+                if (generation == agent.generation) {
+                    agent.supervisor->onLists(action, std::nullopt, m_now);
+                }
+            });
+        });
+        return;
+    }
+    const std::optional<WorkerLists> lists = agent.worker->renew(action, m_now);
+    if (lists && lists->ends.empty() && m_now < until) {
+        m_network.after(fromMilliseconds(50), [this, index, generation, action, until] {
+            RenewWorker look = action;
+            look.leaseEnd.reset(); // the lease was renewed when the call came
+            finishRenewal(index, generation, look, until);
+        });
+        return;
+    }
+    agent.loop->after(fromMilliseconds(1), [&agent, generation, action, lists, this] {
+        if (generation == agent.generation) {
+            agent.supervisor->onLists(action, lists, m_now);
+        }
+    });
+}
+
+void PoolWorld::carryOut(Agent &agent, const SupervisorAction &action)
+{
+    const std::uint64_t generation = agent.generation;
+    if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+        finishRenewal(agent.index, generation, *renewal, m_now + renewal->wait);
+        return;
+    }
+    const bool late = m_random.chance(m_options.lateOrders) || agent.workerCut;
+    const Duration travel = late ? fromMilliseconds(2000 + m_random.below(8000)) : fromMilliseconds(1);
+    const bool reaches = !agent.workerCut;
+    const auto back = [this, &agent, generation](Duration span, const std::function<void(WorkerSupervisor &)> &tell) {
+        agent.loop->after(span, [&agent, generation, tell] {
+            if (generation == agent.generation) {
+                tell(*agent.supervisor);
+            }
+        });
+    };
+    if (const StartTask *start = std::get_if<StartTask>(&action)) {
+        if (late) {
+            back(orderLimit, [this, start = *start](WorkerSupervisor &supervisor) {
+                supervisor.onStarted(start, OrderOutcome::Unknown, "", m_now);
+            });
+        }
+        m_network.after(travel, [this, &agent, start = *start, late, reaches, back] {
+            if (!reaches || agent.gone) {
+                return;
+            }
+            const auto [outcome, reason] = agent.worker->start(start, m_now);
+            if (!late) {
+                back(fromMilliseconds(1), [this, start, outcome = outcome, reason = reason](WorkerSupervisor &supervisor) {
+                    supervisor.onStarted(start, outcome, reason, m_now);
+                });
+            }
+        });
+    } else if (const StopTask *stop = std::get_if<StopTask>(&action)) {
+        if (late) {
+            back(orderLimit, [this, stop = *stop](WorkerSupervisor &supervisor) {
+                supervisor.onStopped(stop, OrderOutcome::Unknown, m_now);
+            });
+        }
+        m_network.after(travel, [this, &agent, stop = *stop, late, reaches, back] {
+            if (!reaches || agent.gone) {
+                return;
+            }
+            const OrderOutcome outcome = agent.worker->stop(stop, m_now);
+            if (!late) {
+                back(fromMilliseconds(1), [this, stop, outcome](WorkerSupervisor &supervisor) {
+                    supervisor.onStopped(stop, outcome, m_now);
+                });
+            }
+        });
+    }
+}
+
+PoolWorkerModel::Observer PoolWorld::makeObserver()
+{
+    PoolWorkerModel::Observer observer;
+    observer.onStart = [this](const RunName &run, const PoolWorkerModel &worker) {
+        ++m_starts[run.task.job];
+        m_firstStarts.try_emplace(run.task.job, m_now);
+        if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
+            violate("two runs at once: " + describe(run) + " beside " + describe(running->second));
+        }
+        if (m_doneTasks.contains(run.task)) {
+            violate("started after its end was acknowledged: " + describe(run));
+        }
+        const GraphSpec &spec = m_specs.at(run.task.job);
+        for (const std::uint32_t earlier : spec.steps[run.task.step].after) {
+            for (std::uint32_t index = 0; index < spec.steps[earlier].tasks; ++index) {
+                if (!m_succeeded.contains({run.task.job, run.task.occurrence, earlier, index}) && !spec.steps[earlier].gang) {
+                    violate("started before an earlier step: " + describe(run));
+                }
+            }
+        }
+        if (!worker.announcement().capacity.fits(worker.used())) {
+            violate("more than the worker has: " + describe(run) + " on " + worker.announcement().life.worker);
+        }
+        m_runningTasks[run.task] = run;
+    };
+    observer.onEnd = [this](const RunName &run, RunEnding ending, const PoolWorkerModel &) {
+        m_runningTasks.erase(run.task);
+        m_stops += ending == RunEnding::Stopped ? 1 : 0;
+        if (ending == RunEnding::Succeeded) {
+            m_succeeded.insert(run.task);
+        }
+    };
+    observer.onAcknowledged = [this](const RunName &run, RunEnding ending, const PoolWorkerModel &) {
+        if (ending == RunEnding::Succeeded) {
+            m_doneTasks.insert(run.task);
+        }
+    };
+    observer.presentMembers = [this](const RunName &run) {
+        std::uint32_t present = 0;
+        for (std::uint32_t index = 0; index < m_specs.at(run.task.job).steps[run.task.step].tasks; ++index) {
+            TaskName member = run.task;
+            member.index = index;
+            const auto running = m_runningTasks.find(member);
+            present += running != m_runningTasks.end() && running->second.run == run.run ? 1 : 0;
+        }
+        return present;
+    };
+    return observer;
+}
+
+ModelTask PoolWorld::taskOf(const TaskName &task) const
+{
+    const StepSpec &step = m_specs.at(task.job).steps[task.step];
+    return {step.demand, step.estimate, membersOf(step), step.checkpoints};
+}
+
+void PoolWorld::violate(const std::string &text)
+{
+    m_violations.push_back(std::to_string(toMilliseconds(m_now.time_since_epoch())) + " ms: " + text);
+}
+
+void PoolWorld::writeConfiguration()
+{
+    ++m_configurationVersion;
+    TableTransaction transaction;
+    transaction.writes = {
+        {"operators", "configuration", nlohmann::json{{"version", m_configurationVersion}, {"keys", m_keys}}.dump()}};
+    m_rows.commit(transaction);
+}
+
+void PoolWorld::setKeys(const std::vector<std::string> &keys)
+{
+    m_keys = keys;
+    writeConfiguration();
+}
+
+void PoolWorld::setDomainOut(const std::string &failureDomain, bool out)
+{
+    TableTransaction transaction;
+    transaction.writes = {{"operators", "out/" + failureDomain, out ? std::optional<std::string>("{}") : std::nullopt}};
+    m_rows.commit(transaction);
+}
+
+void PoolWorld::call(PoolCall call, const std::string &job, std::size_t entry)
+{
+    call.host = "host";
+    call.key = "key";
+    Entry *target = m_entries[entry].get();
+    target->loop.after(Duration::zero(), [this, target, call = std::move(call), job] {
+        target->api.handle(call, [this, job](const CallAnswer &answer) {
+            m_answers[job] = answer;
+        });
+    });
+}
+
+void PoolWorld::submit(const std::string &job, const GraphSpec &spec, const std::string &queue, std::size_t entry)
+{
+    m_specs[job] = spec;
+    GraphRecord record;
+    record.spec = spec;
+    PoolCall submission;
+    submission.kind = CallKind::Submit;
+    submission.path = "/" + queue + "/" + job;
+    submission.body = encodeGraphSpec(record);
+    call(std::move(submission), job, entry);
+}
+
+void PoolWorld::cancel(const std::string &job, std::size_t entry)
+{
+    PoolCall cancellation;
+    cancellation.kind = CallKind::Cancel;
+    cancellation.path = "/normal/" + job;
+    call(std::move(cancellation), job, entry);
+}
+
+void PoolWorld::ask(const std::string &job, std::size_t entry)
+{
+    PoolCall question;
+    question.kind = CallKind::State;
+    question.path = "/normal/" + job;
+    call(std::move(question), job, entry);
+}
+
+const CallAnswer &PoolWorld::answerFor(const std::string &job) const
+{
+    static const CallAnswer none;
+    const auto found = m_answers.find(job);
+    return found == m_answers.end() ? none : found->second;
+}
+
+void PoolWorld::killEntry(std::size_t entry)
+{
+    makeEntry(entry);
+}
+
+void PoolWorld::drainEntry(std::size_t entry)
+{
+    m_entries[entry]->owner.drain();
+}
+
+void PoolWorld::cutEntryFromStore(std::size_t entry, bool cut)
+{
+    m_entries[entry]->store.setCut(cut);
+}
+
+void PoolWorld::cutEntryFromAgents(std::size_t entry, bool cut)
+{
+    m_entries[entry]->cutFromAgents = cut;
+}
+
+void PoolWorld::freezeEntry(std::size_t entry, bool frozen)
+{
+    m_entries[entry]->loop.setFrozen(frozen);
+}
+
+void PoolWorld::freezeAgent(std::size_t worker, bool frozen)
+{
+    m_agents[worker]->loop->setFrozen(frozen);
+}
+
+void PoolWorld::restartAgent(std::size_t worker)
+{
+    makeAgent(worker);
+}
+
+void PoolWorld::removeAgent(std::size_t worker)
+{
+    m_agents[worker]->gone = true;
+    m_agents[worker]->worker->rebirth(m_now);
+}
+
+void PoolWorld::cutAgent(std::size_t worker, bool cut)
+{
+    m_agents[worker]->cut = cut;
+}
+
+void PoolWorld::cutWorker(std::size_t worker, bool cut)
+{
+    m_agents[worker]->workerCut = cut;
+}
+
+PoolWorkerModel &PoolWorld::worker(std::size_t index)
+{
+    return *m_agents[index]->worker;
+}
+
+std::size_t PoolWorld::owner() const
+{
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        if (m_entries[index]->scheduler.isOwned() && m_entries[index]->scheduler.isSettled(m_now)) {
+            return index;
+        }
+    }
+    for (std::size_t index = 0; index < m_entries.size(); ++index) {
+        if (m_entries[index]->scheduler.isOwned()) {
+            return index;
+        }
+    }
+    return m_entries.size();
+}
+
+GraphState PoolWorld::stateOf(const std::string &job) const
+{
+    const auto row = m_rows.rows.find({std::string(PoolRows::table), PoolRows::keyOf(PoolRows::progressPrefix, job)});
+    if (row == m_rows.rows.end()) {
+        return GraphState::Queued;
+    }
+    const std::optional<GraphProgress> progress = decodeGraphProgress(row->second.value);
+    return progress ? progress->state : GraphState::Queued;
+}
+
+std::uint32_t PoolWorld::startsOf(const std::string &job) const
+{
+    const auto found = m_starts.find(job);
+    return found == m_starts.end() ? 0 : found->second;
+}
+
+std::optional<TimePoint> PoolWorld::firstStart(const std::string &job) const
+{
+    const auto found = m_firstStarts.find(job);
+    return found == m_firstStarts.end() ? std::nullopt : std::optional(found->second);
+}
+
+} // namespace banyanlock
--- /dev/null
+++ b/tests/pool/VirtualStore.cpp
@@ -0,0 +1,157 @@
+#include "PoolWorld.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr Duration answerLimit = fromMilliseconds(1000);
+
+} // namespace
+
+CommitResult VirtualRows::commit(const TableTransaction &transaction)
+{
+    CommitResult result;
+    bool holds = true;
+    for (const RowCheck &check : transaction.checks) {
+        const auto found = rows.find({check.table, check.key});
+        const bool exists = found != rows.end() && !found->second.erased;
+        holds = holds && (exists ? found->second.version : 0) == check.version;
+        if (exists) {
+            result.rows.push_back(found->second);
+        }
+    }
+    if (!holds) {
+        result.state = CommitState::Conflict;
+        return result;
+    }
+    ++version;
+    for (const RowWrite &write : transaction.writes) {
+        rows[{write.table, write.key}] = {write.table, write.key, version, write.value.value_or(""), !write.value.has_value()};
+    }
+    result.rows.clear();
+    result.state = CommitState::Committed;
+    result.version = version;
+    return result;
+}
+
+VirtualStore::VirtualStore(VirtualLoop &loop, VirtualRows &rows, Random &random)
+    : m_loop(&loop)
+    , m_rows(&rows)
+    , m_random(&random)
+{
+}
+
+Duration VirtualStore::delay()
+{
+    return fromMilliseconds(2 + m_random->below(25));
+}
+
+void VirtualStore::later(Duration span, std::function<void()> event)
+{
+    m_loop->after(span, [alive = m_alive, event = std::move(event)] {
+        if (*alive) {
+            event();
+        }
+    });
+}
+
+void VirtualStore::commit(const TableTransaction &transaction, std::function<void(CommitResult)> callback)
+{
+    later(delay(), [this, transaction, callback = std::move(callback)] {
+        if (isAway()) {
+            later(m_random->chance(0.5) ? delay() : answerLimit, [callback] {
+                CommitResult result;
+                result.state = CommitState::NotSent;
+                callback(result);
+            });
+            return;
+        }
+        const bool late = m_random->chance(m_rows->lateWrites);
+        if (late) {
+            later(fromMilliseconds(1000 + m_random->below(4000)), [this, transaction] {
+                m_rows->commit(transaction);
+            });
+        }
+        const CommitResult result = late ? CommitResult() : m_rows->commit(transaction);
+        if (late || m_random->chance(m_rows->lostAnswers)) {
+            later(answerLimit, [callback] {
+                callback(CommitResult());
+            });
+            return;
+        }
+        later(delay(), [callback, result] {
+            callback(result);
+        });
+    });
+}
+
+void VirtualStore::read(const std::string &table, const std::string &key, std::function<void(RowResult)> callback)
+{
+    later(delay(), [this, table, key, callback = std::move(callback)] {
+        RowResult result;
+        result.available = !isAway();
+        const auto found = m_rows->rows.find({table, key});
+        if (result.available && found != m_rows->rows.end() && !found->second.erased) {
+            result.row = found->second;
+        }
+        later(delay(), [callback, result] {
+            callback(result);
+        });
+    });
+}
+
+void VirtualStore::readTable(const std::string &table, std::function<void(ScanResult)> callback)
+{
+    later(delay(), [this, table, callback = std::move(callback)] {
+        ScanResult result;
+        result.available = !isAway();
+        result.version = m_rows->version;
+        for (const auto &[key, row] : m_rows->rows) {
+            if (result.available && row.table == table && !row.erased) {
+                result.rows.push_back(row);
+            }
+        }
+        later(delay(), [callback, result] {
+            callback(result);
+        });
+    });
+}
+
+void VirtualStore::follow(const std::string &table, std::uint64_t after, Duration wait, std::function<void(FollowResult)> callback)
+{
+    later(delay(), [this, table, after, wait, callback = std::move(callback)] {
+        answerFollow(table, after, m_loop->now() + wait, callback);
+    });
+}
+
+void VirtualStore::answerFollow(const std::string &table, std::uint64_t after, TimePoint until,
+                                const std::function<void(FollowResult)> &callback)
+{
+    FollowResult result;
+    if (!isAway()) {
+        result.state = after < m_rows->historyFrom ? FollowState::HistoryLost : FollowState::Followed;
+        result.version = m_rows->version;
+        for (const auto &[key, row] : m_rows->rows) {
+            if (row.table == table && row.version > after && result.state == FollowState::Followed) {
+                result.rows.push_back(row);
+            }
+        }
+        std::ranges::stable_sort(result.rows, {}, &TableRow::version);
+    }
+    constexpr Duration look = fromMilliseconds(10);
+    if (result.state == FollowState::Followed && result.rows.empty() && m_loop->now() < until) {
+        later(look, [this, table, after, until, callback] {
+            answerFollow(table, after, until, callback);
+        });
+        return;
+    }
+    later(delay(), [callback, result] {
+        callback(result);
+    });
+}
+
+} // namespace banyanlock
