--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -412,14 +412,24 @@
 void PoolScheduler::closeEnded(TimePoint now)
 {
     std::vector<UnitId> ended;
-    for (const auto &[id, unit] : m_units) {
-        const bool gang = unit.members.size() > 1;
+    for (auto &[id, unit] : m_units) {
+        if (unit.phase != UnitPhase::Started) {
+            continue;
+        }
         const bool succeeded = std::ranges::any_of(unit.members, [](const ActiveMember &member) {
             return member.ending == RunEnding::Succeeded;
         });
-        // The members of a gang end well together; one such end stands for all.
-        if (unit.phase == UnitPhase::Started && ((gang && succeeded) || std::ranges::all_of(unit.members, memberEnded))) {
+        if (std::ranges::all_of(unit.members, memberEnded)) {
             ended.push_back(id);
+        } else if (succeeded && unit.stopping != StopReason::AlreadyDone) {
+            // The members of a gang end well together: one such end stands for all. The others hold their room until they are listed.
+            unit.stopping = StopReason::AlreadyDone;
+            unit.nextStop = now + m_times.stopRepeat;
+            GraphRecord *job = m_jobs.find(unit.job);
+            const auto progress = job->progress.units.find(unit.key);
+            if (progress != job->progress.units.end() && !progress->second.succeeded) {
+                noteSuccess(*job, progress->second);
+            }
         }
     }
     for (const UnitId &id : ended) {
@@ -505,7 +515,7 @@
     if (step.lasting) {
         return;
     }
-    if (outcome == RunEnding::Succeeded) {
+    if (outcome == RunEnding::Succeeded && !progress.succeeded) {
         noteSuccess(*job, progress);
     } else if (outcome == RunEnding::Failed && !progress.succeeded) {
         ++progress.failures;
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -1,5 +1,6 @@
 #include "PoolWorld.h"
 
+#include "core/Log.h"
 #include "graph/GraphCodec.h"
 
 #include <nlohmann/json.hpp>
@@ -134,6 +135,12 @@
     : m_options(options)
     , m_random(options.seed)
 {
+    static const bool traced = std::getenv("BANYANLOCK_TRACE") != nullptr;
+    static bool logStarted = false;
+    if (traced && !logStarted) {
+        Log::start("world", "test", LogLevel::Info);
+        logStarted = true;
+    }
     writeConfiguration();
     m_agents.resize(options.workers);
     for (std::size_t index = 0; index < options.workers; ++index) {
@@ -437,6 +444,7 @@
     PoolWorkerModel::Observer observer;
     observer.onStart = [this](const RunName &run, const PoolWorkerModel &worker) {
         ++m_starts[run.task.job];
+        Log::info("model_start", {{"run", describe(run)}, {"worker", worker.announcement().life.worker}, {"at", toMilliseconds(m_now.time_since_epoch())}});
         m_firstStarts.try_emplace(run.task.job, m_now);
         if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
             violate("two runs at once: " + describe(run) + " beside " + describe(running->second));
@@ -457,7 +465,8 @@
         }
         m_runningTasks[run.task] = run;
     };
-    observer.onEnd = [this](const RunName &run, RunEnding ending, const PoolWorkerModel &) {
+    observer.onEnd = [this](const RunName &run, RunEnding ending, const PoolWorkerModel &worker) {
+        Log::info("model_end", {{"run", describe(run)}, {"worker", worker.announcement().life.worker}, {"ending", std::string(runEndingName(ending))}, {"at", toMilliseconds(m_now.time_since_epoch())}});
         m_runningTasks.erase(run.task);
         m_stops += ending == RunEnding::Stopped ? 1 : 0;
         if (ending == RunEnding::Succeeded) {
