Let urgent units wait for others to end before they stop them

Change: an urgent unit first waits while its objective leaves 0.9 s; outside a guarantee it throws away at most 2.5 times its own work, and nothing once its objective is missed. An owner that an agent calls superseded gives up at once.

--- a/src/agent/AgentDaemon.h
+++ b/src/agent/AgentDaemon.h
@@ -3,9 +3,9 @@
 #include "agent/AgentSettings.h"
 #include "core/Counters.h"
 #include "dispatch/AgentGate.h"
+#include "rpc/RpcNode.h"
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
-#include "rpc/RpcNode.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/entry/EntryDaemon.h
+++ b/src/entry/EntryDaemon.h
@@ -12,10 +12,10 @@
 #include "entry/RequestService.h"
 #include "entry/StoreMirror.h"
 #include "http/HttpServer.h"
+#include "rpc/RpcNode.h"
 #include "runtime/EventLoop.h"
 #include "runtime/HttpClient.h"
 #include "store/TableClient.h"
-#include "rpc/RpcNode.h"
 
 namespace banyanlock
 {
--- a/src/entry/JobRetention.h
+++ b/src/entry/JobRetention.h
@@ -3,8 +3,8 @@
 #include "core/Counters.h"
 #include "entry/CellHost.h"
 #include "entry/StoreMirror.h"
-#include "store/TableClient.h"
 #include "schedule/EndedJobs.h"
+#include "store/TableClient.h"
 
 #include <string>
 
--- a/src/entry/RequestService.h
+++ b/src/entry/RequestService.h
@@ -5,8 +5,8 @@
 #include "entry/ClaimStore.h"
 #include "entry/EntrySettings.h"
 #include "http/HttpServer.h"
-#include "runtime/EventLoop.h"
 #include "rpc/RpcNode.h"
+#include "runtime/EventLoop.h"
 
 #include <cstdint>
 #include <string>
--- a/src/entry/StoreMirror.h
+++ b/src/entry/StoreMirror.h
@@ -5,8 +5,8 @@
 #include "placement/Fleet.h"
 #include "placement/ReservationPlan.h"
 #include "runtime/EventLoop.h"
-#include "store/TableClient.h"
 #include "schedule/JobTable.h"
+#include "store/TableClient.h"
 
 #include <cstdint>
 #include <functional>
--- a/src/graph/GraphCodec.cpp
+++ b/src/graph/GraphCodec.cpp
@@ -21,7 +21,8 @@
 
 Json stepToJson(const StepSpec &step)
 {
-    Json json{{"n", step.tasks}, {"d", {step.demand.processors, step.demand.memory, step.demand.accelerators}}, {"e", step.estimate.count()}};
+    Json json{
+        {"n", step.tasks}, {"d", {step.demand.processors, step.demand.memory, step.demand.accelerators}}, {"e", step.estimate.count()}};
     if (!step.after.empty()) {
         json["a"] = step.after;
     }
@@ -151,7 +152,8 @@
         terms.targetLatency = Duration(json.at("target").get<std::int64_t>());
         record.acceptedUnixMilliseconds = json.at("accepted").get<std::int64_t>();
         if (const auto repeat = json.find("repeat"); repeat != json.end()) {
-            record.spec.repetition = {repeat->at(0).get<std::uint32_t>(), repeat->at(1).get<std::int64_t>(), repeat->at(2).get<std::int64_t>()};
+            record.spec.repetition
+                = {repeat->at(0).get<std::uint32_t>(), repeat->at(1).get<std::int64_t>(), repeat->at(2).get<std::int64_t>()};
         }
         return checkGraphSpec(record.spec).empty();
     } catch (const Json::exception &) {
--- a/src/pool/OwnerRow.cpp
+++ b/src/pool/OwnerRow.cpp
@@ -7,7 +7,9 @@
 
 std::string encodeOwnerRow(const OwnerRow &row)
 {
-    return nlohmann::json{{"owner", row.owner}, {"incarnation", row.incarnation}, {"epoch", row.epoch}, {"settled", row.settled}, {"beat", row.beat}}.dump();
+    return nlohmann::json{
+        {"owner", row.owner}, {"incarnation", row.incarnation}, {"epoch", row.epoch}, {"settled", row.settled}, {"beat", row.beat}}
+        .dump();
 }
 
 std::optional<OwnerRow> decodeOwnerRow(const std::string &text)
--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -263,7 +263,15 @@
     for (const std::size_t victim : placement.stops) {
         lostWork += room.victims[victim].lostWork;
     }
-    return group.guaranteed || lostWork * m_policy.wastePrice <= m_policy.urgentGain;
+    constexpr double microsecondsPerSecond = 1e6;
+    const double ownWork = step.demand.coreEquivalents() * static_cast<double>(membersOf(step)) * static_cast<double>(step.estimate.count())
+        / microsecondsPerSecond;
+    return group.guaranteed || lostWork <= ownWork * m_policy.wasteRatio;
+}
+
+bool PoolPlanner::isPatient(const PlanGroup &group) const
+{
+    return group.waited < m_policy.longestPatience && group.slack > m_policy.patience;
 }
 
 PoolPlan PoolPlanner::plan(std::span<const PlanGroup> groups, std::vector<PlanWorker> workers, std::span<const PlanVictim> victims) const
@@ -284,7 +292,8 @@
     }
     for (std::vector<std::size_t> &here : room.victimsOn) {
         std::ranges::stable_sort(here, [&](std::size_t left, std::size_t right) {
-            return std::tuple(victims[left].guaranteed, victims[left].lostWork) < std::tuple(victims[right].guaranteed, victims[right].lostWork);
+            return std::tuple(victims[left].guaranteed, victims[left].lostWork)
+                < std::tuple(victims[right].guaranteed, victims[right].lostWork);
         });
     }
     for (const std::size_t number : orderOf(groups)) {
@@ -301,13 +310,17 @@
                 plan.starts.push_back({number, index, std::move(placement.workers)});
                 continue;
             }
-            if (group.job->terms.priority != 0) {
+            const bool missed = group.slack < Duration::zero();
+            if (group.job->terms.priority != 0 || (missed && !group.guaranteed)) {
                 break; // the others of the step are alike
             }
             Placement forced;
             if (!findByStopping(group, room, forced)) {
                 break;
             }
+            if (isPatient(group) && !forced.stops.empty()) {
+                break; // others may end in time
+            }
             for (const std::size_t victim : forced.stops) {
                 room.stopped[victim] = true;
                 plan.stops.push_back(victim);
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -65,8 +65,10 @@
 struct PlannerPolicy {
     double remoteFactor = 3.0; ///< How many times longer tasks take away from their data or over several racks; setting.
     double remoteWaitShare = 1.0; ///< Share of a task's estimate for which it waits for its own rack.
-    double wastePrice = 0.0017; ///< Price of a core-second thrown away, in worth; from the users' price list.
-    double urgentGain = 3.0; ///< Worth of an urgent unit that meets its objective rather than missing it; from the users' list.
+    double wasteRatio = 2.5; ///< Work that may be thrown away for a unit, in multiples of its own; half of where price and gain balance.
+    Duration patience
+        = fromMilliseconds(900); ///< Slack at which an urgent unit stops waiting for others to end; a stop and a start take 0.4 s.
+    Duration longestPatience = fromMilliseconds(1200); ///< Longest such wait; a guarantee is due in 2.7 s.
 };
 
 /// Decides which waiting units start where, and what is stopped for them. It has no state.
@@ -112,6 +114,7 @@
     bool findInRack(const PlanGroup &group, const Room &room, const std::string &rack, Placement &placement) const;
     bool findByStopping(const PlanGroup &group, const Room &room, Placement &placement) const;
     bool stopInRack(const PlanGroup &group, const Room &room, const std::string &rack, Placement &placement) const;
+    bool isPatient(const PlanGroup &group) const;
     static bool mayStop(const PlanGroup &group, const PlanVictim &victim);
     static std::vector<std::string> racksOf(const Room &room);
 
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -114,9 +114,8 @@
 
 bool PoolScheduler::isUsable(const PoolWorker &worker, TimePoint now) const
 {
-    return worker.known && worker.status.answering && !worker.status.leaving && !worker.status.worker.draining
-        && !isSilent(worker, now) && now >= worker.quarantinedUntil
-        && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
+    return worker.known && worker.status.answering && !worker.status.leaving && !worker.status.worker.draining && !isSilent(worker, now)
+        && now >= worker.quarantinedUntil && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
 }
 
 std::vector<PlanWorker> PoolScheduler::planWorkers(const std::vector<std::string> &agents, TimePoint now) const
@@ -297,15 +296,16 @@
     if (job->progress.state == GraphState::Queued) {
         job->progress.state = GraphState::Running;
     }
-    Log::info("unit_placed", {{"job", job->id},
-                              {"occurrence", static_cast<std::int64_t>(key.occurrence)},
-                              {"step", static_cast<std::int64_t>(key.step)},
-                              {"index", static_cast<std::int64_t>(key.index)},
-                              {"run", static_cast<std::int64_t>(unit.run)},
-                              {"workers", workers},
-                              {"waited_ms", toMilliseconds(group.waited)},
-                              {"slack_ms", toMilliseconds(group.slack)},
-                              {"configuration", static_cast<std::int64_t>(m_operators.configuration.version)}});
+    Log::info("unit_placed",
+              {{"job", job->id},
+               {"occurrence", static_cast<std::int64_t>(key.occurrence)},
+               {"step", static_cast<std::int64_t>(key.step)},
+               {"index", static_cast<std::int64_t>(key.index)},
+               {"run", static_cast<std::int64_t>(unit.run)},
+               {"workers", workers},
+               {"waited_ms", toMilliseconds(group.waited)},
+               {"slack_ms", toMilliseconds(group.slack)},
+               {"configuration", static_cast<std::int64_t>(m_operators.configuration.version)}});
     m_units[{job->id, key}] = std::move(unit);
     markDirty(job->id);
 }
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -85,14 +85,16 @@
             m_units[{id, key}] = std::move(unit);
         }
     }
-    Log::info("pool_learned", {{"epoch", static_cast<std::int64_t>(m_epoch)},
-                               {"open_jobs", static_cast<std::int64_t>(m_jobs.open().size())},
-                               {"running_units", static_cast<std::int64_t>(m_units.size())}});
+    Log::info("pool_learned",
+              {{"epoch", static_cast<std::int64_t>(m_epoch)},
+               {"open_jobs", static_cast<std::int64_t>(m_jobs.open().size())},
+               {"running_units", static_cast<std::int64_t>(m_units.size())}});
 }
 
 void PoolScheduler::disown()
 {
     m_epoch = 0;
+    m_superseded = false;
     m_units.clear();
     m_dirty.clear();
     m_recording.clear();
@@ -238,8 +240,8 @@
         --progress.run; // nothing was ordered under this number
         progress.places.clear();
         m_units.erase(id);
-        Log::info("start_withdrawn", {{"job", id.first},
-                                      {"configuration_row", static_cast<std::int64_t>(m_operators.configurationRowVersion)}});
+        Log::info("start_withdrawn",
+                  {{"job", id.first}, {"configuration_row", static_cast<std::int64_t>(m_operators.configurationRowVersion)}});
     }
     // What the batch carried beside starts is written with the next one.
     m_dirty.insert(m_batchJobs.begin(), m_batchJobs.end());
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -24,7 +24,8 @@
     Duration lease = fromMilliseconds(6000); ///< Lease of the workers' tasks; setting.
     Duration leaseSlack = fromMilliseconds(320); ///< A worker's clock may run 2 % slow, and timers fire late.
     Duration validity = fromMilliseconds(1000); ///< Time after which an agent passes over a call.
-    Duration startLimit = fromMilliseconds(1500); ///< Time after which a worker refuses a start; far under the bounds of draining and taking out.
+    Duration startLimit
+        = fromMilliseconds(1500); ///< Time after which a worker refuses a start; far under the bounds of draining and taking out.
     Duration settle = fromMilliseconds(2200); ///< Start limit with the slack of clocks: afterwards a start can't come any more.
     Duration shortestPoll = fromMilliseconds(1000); ///< Wait of a call for news in a small pool.
     Duration longestPoll = fromMilliseconds(2000); ///< Wait of a call for news in a large pool; a third of the lease.
@@ -32,7 +33,8 @@
     Duration answerLimit = fromMilliseconds(600); ///< Time for an answer beyond the wait.
     Duration retry = fromMilliseconds(250); ///< Pause after a call that failed.
     Duration silence = fromMilliseconds(1000); ///< Time without an answer, beyond the wait, after which nothing is renewed or placed.
-    Duration detached = fromMilliseconds(5000); ///< Time for which an owner that can't reach the table service renews leases; with the lease it bears an outage of 8 s.
+    Duration detached = fromMilliseconds(
+        5000); ///< Time for which an owner that can't reach the table service renews leases; with the lease it bears an outage of 8 s.
     Duration stopRepeat = fromMilliseconds(500); ///< Pause between two stops of the same run.
     Duration gangGrace = fromMilliseconds(1500); ///< Time for all members of a gang to start; half of what members wait.
     Duration planRepeat = fromMilliseconds(500); ///< Longest time between two plans: due times and patience are noticed this late.
@@ -92,6 +94,12 @@
         return m_epoch != 0;
     }
 
+    /// @return Whether an agent has heard of a newer owner.
+    bool isSuperseded() const
+    {
+        return m_superseded;
+    }
+
     /// @param now Current time.
     /// @return Whether no earlier owner can renew leases any more.
     bool isSettled(TimePoint now) const
@@ -251,6 +259,7 @@
     bool m_changed = false; // events have come since the last step
     bool m_planDue = false; // what waits or where it can go has changed since the last plan
     bool m_renewalsAllowed = true;
+    bool m_superseded = false;
 };
 
 } // namespace banyanlock
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -64,13 +64,15 @@
         return;
     }
     if (status->highestEpoch > m_epoch) {
-        Log::warning("owner_superseded", {{"agent", agent},
-                                          {"epoch", static_cast<std::int64_t>(m_epoch)},
-                                          {"known_epoch", static_cast<std::int64_t>(status->highestEpoch)}});
-        worker.nextPoll = now + m_times.retry;
+        Log::warning("owner_superseded",
+                     {{"agent", agent},
+                      {"epoch", static_cast<std::int64_t>(m_epoch)},
+                      {"known_epoch", static_cast<std::int64_t>(status->highestEpoch)}});
+        m_superseded = true;
         return;
     }
-    const bool outdated = worker.known && status->agentIncarnation == worker.status.agentIncarnation && status->number < worker.status.number;
+    const bool outdated
+        = worker.known && status->agentIncarnation == worker.status.agentIncarnation && status->number < worker.status.number;
     const bool fromEarlierProcess = worker.known && status->agentIncarnation != worker.status.agentIncarnation && sentAt < worker.askedAt;
     if (status->highestEpoch < m_epoch || outdated || fromEarlierProcess) {
         return;
@@ -89,8 +91,8 @@
     if (status->agentIncarnation != worker.status.agentIncarnation) {
         worker.batch = status->ordersSeen; // a new process counts anew
     }
-    const bool news = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number
-        || isSilent(worker, now);
+    const bool news
+        = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number || isSilent(worker, now);
     if (status->listed) {
         worker.renewableAt = now;
     } else if (worker.status.listed) {
@@ -281,7 +283,8 @@
     const bool incomplete = std::ranges::any_of(unit.members, [](const ActiveMember &member) {
         return !member.confirmed && !memberEnded(member);
     });
-    const bool late = incomplete && unit.members.front().batch != 0 && now > unit.members.front().settledAt - m_times.settle + m_times.gangGrace;
+    const bool late
+        = incomplete && unit.members.front().batch != 0 && now > unit.members.front().settledAt - m_times.settle + m_times.gangGrace;
     if (anyEnded || late) {
         stop(unit, StopReason::MemberLost);
     }
@@ -296,11 +299,12 @@
     if (reason == StopReason::Preempted) {
         m_counters.add(Counter::PoolPreemptions);
     }
-    Log::info("unit_stopping", {{"job", unit.job},
-                                {"step", static_cast<std::int64_t>(unit.key.step)},
-                                {"index", static_cast<std::int64_t>(unit.key.index)},
-                                {"run", static_cast<std::int64_t>(unit.run)},
-                                {"reason", std::string(stopReasonName(reason))}});
+    Log::info("unit_stopping",
+              {{"job", unit.job},
+               {"step", static_cast<std::int64_t>(unit.key.step)},
+               {"index", static_cast<std::int64_t>(unit.key.index)},
+               {"run", static_cast<std::int64_t>(unit.run)},
+               {"reason", std::string(stopReasonName(reason))}});
 }
 
 void PoolScheduler::sendStops(ActiveUnit &unit, TimePoint now)
@@ -364,8 +368,8 @@
         const auto unit = m_units.find({task.job, {task.occurrence, task.step, gang ? 0 : task.index}});
         const bool wanted = unit != m_units.end() && unit->second.run == report.run.run
             && std::ranges::any_of(unit->second.members, [&](const ActiveMember &member) {
-                   return member.run == report.run && member.place.agent == worker.agent && !memberEnded(member);
-               });
+                                return member.run == report.run && member.place.agent == worker.agent && !memberEnded(member);
+                            });
         const bool queued = std::ranges::any_of(worker.orders, [&](const TaskOrder &order) {
             return order.run == report.run;
         });
@@ -465,19 +469,20 @@
             if (++worker->failuresInRow >= suspicious) {
                 worker->quarantinedUntil = now + m_times.quarantine;
                 m_counters.add(Counter::WorkersQuarantined);
-                Log::warning("worker_quarantined", {{"worker", member.place.life.worker},
-                                                    {"failures_in_row", static_cast<std::int64_t>(worker->failuresInRow)}});
+                Log::warning("worker_quarantined",
+                             {{"worker", member.place.life.worker}, {"failures_in_row", static_cast<std::int64_t>(worker->failuresInRow)}});
             }
         }
     }
-    Log::info("unit_ended", {{"job", unit.job},
-                             {"occurrence", static_cast<std::int64_t>(unit.key.occurrence)},
-                             {"step", static_cast<std::int64_t>(unit.key.step)},
-                             {"index", static_cast<std::int64_t>(unit.key.index)},
-                             {"run", static_cast<std::int64_t>(unit.run)},
-                             {"outcome", std::string(runEndingName(ending))},
-                             {"stop_reason", std::string(stopReasonName(unit.stopping))},
-                             {"after_ms", toMilliseconds(now - unit.startedAt)}});
+    Log::info("unit_ended",
+              {{"job", unit.job},
+               {"occurrence", static_cast<std::int64_t>(unit.key.occurrence)},
+               {"step", static_cast<std::int64_t>(unit.key.step)},
+               {"index", static_cast<std::int64_t>(unit.key.index)},
+               {"run", static_cast<std::int64_t>(unit.run)},
+               {"outcome", std::string(runEndingName(ending))},
+               {"stop_reason", std::string(stopReasonName(unit.stopping))},
+               {"after_ms", toMilliseconds(now - unit.startedAt)}});
 }
 
 void PoolScheduler::close(const ActiveUnit &unit, TimePoint now)
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -57,16 +57,18 @@
         const bool sameLife = known == announcement.life;
         // A delayed announcement of an earlier life must not displace its successor.
         if (sameLife ? announcement.sequence <= m_worker->sequence : announcement.life.bornUnixMilliseconds < known.bornUnixMilliseconds) {
-            Log::info("stale_announcement_dropped", {{"worker", announcement.life.worker},
-                                                     {"sequence", static_cast<std::int64_t>(announcement.sequence)},
-                                                     {"known_sequence", static_cast<std::int64_t>(m_worker->sequence)}});
+            Log::info("stale_announcement_dropped",
+                      {{"worker", announcement.life.worker},
+                       {"sequence", static_cast<std::int64_t>(announcement.sequence)},
+                       {"known_sequence", static_cast<std::int64_t>(m_worker->sequence)}});
             return false;
         }
         if (!sameLife) {
-            Log::info("worker_life_changed", {{"worker", announcement.life.worker},
-                                              {"born", announcement.life.bornUnixMilliseconds},
-                                              {"earlier_worker", known.worker},
-                                              {"earlier_born", known.bornUnixMilliseconds}});
+            Log::info("worker_life_changed",
+                      {{"worker", announcement.life.worker},
+                       {"born", announcement.life.bornUnixMilliseconds},
+                       {"earlier_worker", known.worker},
+                       {"earlier_born", known.bornUnixMilliseconds}});
             resetLife();
         }
     }
@@ -78,9 +80,10 @@
     m_worker = announcement;
     if (news) {
         changed();
-        Log::info("worker_announced", {{"worker", announcement.life.worker},
-                                       {"born", announcement.life.bornUnixMilliseconds},
-                                       {"draining", std::string(announcement.draining ? "yes" : "no")}});
+        Log::info("worker_announced",
+                  {{"worker", announcement.life.worker},
+                   {"born", announcement.life.bornUnixMilliseconds},
+                   {"draining", std::string(announcement.draining ? "yes" : "no")}});
     }
     if (drainingBegins) {
         for (auto &[run, pending] : m_starts) {
@@ -104,11 +107,13 @@
 {
     if (request.epoch < m_epoch) {
         m_counters.add(Counter::PoolOrdersFenced);
-        Log::warning("owner_fenced", {{"epoch", static_cast<std::int64_t>(request.epoch)}, {"known_epoch", static_cast<std::int64_t>(m_epoch)}});
+        Log::warning("owner_fenced",
+                     {{"epoch", static_cast<std::int64_t>(request.epoch)}, {"known_epoch", static_cast<std::int64_t>(m_epoch)}});
         return false;
     }
     if (request.epoch > m_epoch) {
-        Log::info("owner_adopted", {{"epoch", static_cast<std::int64_t>(request.epoch)}, {"earlier_epoch", static_cast<std::int64_t>(m_epoch)}});
+        Log::info("owner_adopted",
+                  {{"epoch", static_cast<std::int64_t>(request.epoch)}, {"earlier_epoch", static_cast<std::int64_t>(m_epoch)}});
         m_epoch = request.epoch;
         m_ordersSeen = 0;
         m_nextRenewal = now;
@@ -262,9 +267,10 @@
     m_lapsed = false;
     if (!m_listed) {
         m_leaseSentAt = now; // an earlier process of the agent may have renewed until now
-        Log::info("worker_lists_learned", {{"worker", m_worker->life.worker},
-                                           {"runs", static_cast<std::int64_t>(m_runs.size())},
-                                           {"ends", static_cast<std::int64_t>(m_ends.size())}});
+        Log::info("worker_lists_learned",
+                  {{"worker", m_worker->life.worker},
+                   {"runs", static_cast<std::int64_t>(m_runs.size())},
+                   {"ends", static_cast<std::int64_t>(m_ends.size())}});
     }
     m_listed = true;
     closePassedStarts(sentAt);
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -30,7 +30,8 @@
     /// @param mirror Copy of the rows.
     /// @param staleLimit Age of the operators' rows from which they are not believed any more.
     /// @param counters Counters.
-    PoolApi(typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit, Counters &counters)
+    PoolApi(typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit,
+            Counters &counters)
         : m_loop(loop)
         , m_store(store)
         , m_mirror(mirror)
@@ -81,15 +82,16 @@
 
     void answer(const ExchangePointer &exchange, CallAnswer answer)
     {
-        Log::info("call_answered", {{"job", exchange->job},
-                                    {"kind", std::string(kindName(exchange->call.kind))},
-                                    {"outcome", std::string(outcomeName(answer.outcome))},
-                                    {"state", std::string(graphStateName(answer.state))},
-                                    {"reason", answer.reason},
-                                    {"queue", exchange->queue},
-                                    {"configuration", static_cast<std::int64_t>(m_mirror.operators().configuration.version)},
-                                    {"configuration_age_ms", toMilliseconds(m_loop.now() - m_mirror.operatorsProvenAt())},
-                                    {"took_ms", toMilliseconds(m_loop.now() - exchange->receivedAt)}});
+        Log::info("call_answered",
+                  {{"job", exchange->job},
+                   {"kind", std::string(kindName(exchange->call.kind))},
+                   {"outcome", std::string(outcomeName(answer.outcome))},
+                   {"state", std::string(graphStateName(answer.state))},
+                   {"reason", answer.reason},
+                   {"queue", exchange->queue},
+                   {"configuration", static_cast<std::int64_t>(m_mirror.operators().configuration.version)},
+                   {"configuration_age_ms", toMilliseconds(m_loop.now() - m_mirror.operatorsProvenAt())},
+                   {"took_ms", toMilliseconds(m_loop.now() - exchange->receivedAt)}});
         exchange->respond(std::move(answer));
     }
 
@@ -178,8 +180,8 @@
         GraphRecord &record = exchange->record;
         record.id = exchange->job;
         record.spec = std::move(valueOf(spec));
-        record.terms = {queue.name,     exchange->workspace, queue.service,      queue.priority,
-                        queue.attemptLimit, queue.slackFactor,   queue.targetLatency};
+        record.terms
+            = {queue.name, exchange->workspace, queue.service, queue.priority, queue.attemptLimit, queue.slackFactor, queue.targetLatency};
         const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
         record.acceptedUnixMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
         write(exchange);
@@ -201,14 +203,15 @@
         const OperatorRows operatorRows = Platform::operatorRows();
         TableTransaction transaction;
         transaction.changeId = "submit/" + exchange->job;
-        transaction.checks = {{table, specKey, 0},
-                              {operatorRows.table, operatorRows.configurationKey, m_mirror.operators().configurationRowVersion}};
+        transaction.checks
+            = {{table, specKey, 0}, {operatorRows.table, operatorRows.configurationKey, m_mirror.operators().configurationRowVersion}};
         const std::string specText = encodeGraphSpec(exchange->record);
         const std::string progressText = encodeGraphProgress(exchange->record.progress);
         transaction.writes = {{table, specKey, specText}, {table, progressKey, progressText}};
         m_store.commit(transaction, [this, exchange, table, specKey, progressKey, specText, progressText](const CommitResult &result) {
             if (result.state == CommitState::Committed) {
-                m_mirror.adopt({{table, specKey, result.version, specText, false}, {table, progressKey, result.version, progressText, false}});
+                m_mirror.adopt(
+                    {{table, specKey, result.version, specText, false}, {table, progressKey, result.version, progressText, false}});
                 m_counters.add(Counter::PoolJobsAccepted);
                 accept(exchange);
                 return;
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -63,8 +63,9 @@
         m_loop.setFlush([this] {
             flush();
         });
-        for (const auto &[server, address] : {std::pair(&m_callers, m_settings.callerAddress), std::pair(&m_balancer, m_settings.readyAddress),
-                                              std::pair(&m_metrics, m_settings.metricsAddress)}) {
+        for (const auto &[server, address] :
+             {std::pair(&m_callers, m_settings.callerAddress), std::pair(&m_balancer, m_settings.readyAddress),
+              std::pair(&m_metrics, m_settings.metricsAddress)}) {
             if (address.empty()) {
                 continue;
             }
@@ -96,7 +97,8 @@
 private:
     static constexpr long connectionsPerHost = 32; // a few followed tables beside callers' transactions
     static constexpr Duration tickInterval = fromMilliseconds(200); // silence is noticed this late
-    static constexpr Duration stepPause = fromMilliseconds(20); // events of this span are worked off together; a fortieth of an urgent job's patience
+    static constexpr Duration stepPause
+        = fromMilliseconds(20); // events of this span are worked off together; a fortieth of an urgent job's patience
     static constexpr Duration idleCheck = fromMilliseconds(100); // the pause between two looks whether everything is answered
 
     static PoolTimes makeTimes(const PoolEntrySettings &settings)
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -194,9 +194,10 @@
             followed.version = result.version;
             followed.loaded = true;
             followed.provenAt = sentAt;
-            Log::info("table_read", {{"table", followed.table},
-                                     {"rows", static_cast<std::int64_t>(result.rows.size())},
-                                     {"version", static_cast<std::int64_t>(result.version)}});
+            Log::info("table_read",
+                      {{"table", followed.table},
+                       {"rows", static_cast<std::int64_t>(result.rows.size())},
+                       {"version", static_cast<std::int64_t>(result.version)}});
             tell();
             follow(followed);
         });
@@ -283,9 +284,10 @@
             m_counters.add(Counter::ConfigurationAdopted);
             m_operators.configuration = std::move(*configuration);
             m_operators.configurationRowVersion = row.version;
-            Log::info("configuration_adopted", {{"version", static_cast<std::int64_t>(m_operators.configuration.version)},
-                                                {"queues", static_cast<std::int64_t>(m_operators.configuration.queues.size())},
-                                                {"row", static_cast<std::int64_t>(row.version)}});
+            Log::info("configuration_adopted",
+                      {{"version", static_cast<std::int64_t>(m_operators.configuration.version)},
+                       {"queues", static_cast<std::int64_t>(m_operators.configuration.queues.size())},
+                       {"row", static_cast<std::int64_t>(row.version)}});
         } else if (const DomainChange *domain = std::get_if<DomainChange>(&change)) {
             const bool isOut = m_operators.outDomains.contains(domain->failureDomain);
             if (domain->out == isOut) {
@@ -296,7 +298,8 @@
             } else {
                 m_operators.outDomains.erase(domain->failureDomain);
             }
-            Log::info("failure_domain_changed", {{"failure_domain", domain->failureDomain}, {"out", std::string(domain->out ? "yes" : "no")}});
+            Log::info("failure_domain_changed",
+                      {{"failure_domain", domain->failureDomain}, {"out", std::string(domain->out ? "yes" : "no")}});
         } else if (const IgnoredRow *ignored = std::get_if<IgnoredRow>(&change); ignored != nullptr && !ignored->reason.empty()) {
             Log::warning("operator_row_ignored", {{"row", row.key}, {"reason", ignored->reason}});
         }
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -36,8 +36,8 @@
     /// @param mirror Copy of the rows.
     /// @param scheduler Scheduler of the pool.
     /// @param counters Counters.
-    PoolOwner(std::string name, std::uint64_t incarnation, typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror,
-              PoolScheduler &scheduler, Counters &counters)
+    PoolOwner(std::string name, std::uint64_t incarnation, typename Platform::Loop &loop, typename Platform::Store &store,
+              PoolMirror<Platform> &mirror, PoolScheduler &scheduler, Counters &counters)
         : m_name(std::move(name))
         , m_incarnation(incarnation)
         , m_loop(loop)
@@ -80,6 +80,9 @@
     /// @param now Current time.
     void flush(TimePoint now)
     {
+        if (m_scheduler.isSuperseded()) {
+            lose("an agent follows a newer owner");
+        }
         if (!m_scheduler.isOwned() || m_sent || now < m_retryAt) {
             return;
         }
@@ -142,6 +145,7 @@
     {
         Log::warning("ownership_lost", {{"reason", std::string(reason)}});
         m_counters.add(Counter::PoolOwnershipLost);
+        m_takenEpoch = 0; // the row that is known here may still name this entry
         m_scheduler.disown();
         m_mirror.setOwnsProgress(false);
         m_pendingTransaction.reset();
@@ -153,9 +157,6 @@
             return;
         }
         const OwnerRow &row = m_mirror.owner();
-        if (isMine(row) && row.epoch == m_takenEpoch) {
-            return;
-        }
         constexpr Duration freshEnough = fromMilliseconds(1500); // a follow waits a second at most
         if (now - m_mirror.poolProvenAt() > freshEnough) {
             return;
@@ -171,9 +172,8 @@
     void take(const OwnerRow &row, TimePoint now, Duration silence)
     {
         const OwnerRow next{m_name, m_incarnation, row.epoch + 1, row.owner.empty() && row.settled, 0};
-        Log::info("ownership_try", {{"epoch", static_cast<std::int64_t>(next.epoch)},
-                                    {"earlier_owner", row.owner},
-                                    {"silent_ms", toMilliseconds(silence)}});
+        Log::info("ownership_try",
+                  {{"epoch", static_cast<std::int64_t>(next.epoch)}, {"earlier_owner", row.owner}, {"silent_ms", toMilliseconds(silence)}});
         TableTransaction transaction;
         transaction.changeId = m_name + "/take/" + std::to_string(next.epoch);
         transaction.checks.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), m_mirror.ownerVersion()});
--- a/src/poolhost/PoolPlatform.h
+++ b/src/poolhost/PoolPlatform.h
@@ -95,7 +95,8 @@
 template <typename T>
 concept RowStoreClient = requires(T store, TableTransaction transaction, std::string table, std::string key, std::uint64_t after,
                                   Duration wait, std::function<void(CommitResult)> onCommit, std::function<void(ScanResult)> onScan,
-                                  std::function<void(FollowResult)> onFollow, std::function<void(RowResult)> onRow) {
+                                  std::function<void(FollowResult)> onFollow, std::function<void(RowResult)> onRow)
+{
     store.commit(transaction, onCommit);
     store.read(table, key, onRow);
     store.readTable(table, onScan);
@@ -104,9 +105,10 @@
 
 /// Client of a worker.
 template <typename T>
-concept WorkerClient = requires(T worker, RenewWorker renewal, StartTask start, StopTask stop,
-                                std::function<void(std::optional<WorkerLists>)> onLists,
-                                std::function<void(OrderOutcome, std::string)> onStarted, std::function<void(OrderOutcome)> onStopped) {
+concept WorkerClient
+    = requires(T worker, RenewWorker renewal, StartTask start, StopTask stop, std::function<void(std::optional<WorkerLists>)> onLists,
+               std::function<void(OrderOutcome, std::string)> onStarted, std::function<void(OrderOutcome)> onStopped)
+{
     worker.renew(renewal, onLists);
     worker.start(start, onStarted);
     worker.stop(stop, onStopped);
@@ -114,23 +116,45 @@
 
 /// What an entry's copy of the rows, its ownership and its answers to callers need: tests run them in virtual time.
 template <typename T>
-concept PoolBackground = RowStoreClient<typename T::Store> && requires(const TableRow &row, const std::string &text, typename T::Loop loop) {
-    { T::operatorRows() } -> std::same_as<OperatorRows>;
-    { T::decodeOperatorRow(row) } -> std::same_as<OperatorChange>;
-    { T::decodeSubmission(text) } -> std::same_as<Result<GraphSpec>>;
-    { loop.now() } -> std::same_as<TimePoint>;
-    { loop.timers() } -> std::same_as<TimerService &>;
+concept PoolBackground = RowStoreClient<typename T::Store> && requires(const TableRow &row, const std::string &text, typename T::Loop loop)
+{
+    {
+        T::operatorRows()
+        } -> std::same_as<OperatorRows>;
+    {
+        T::decodeOperatorRow(row)
+        } -> std::same_as<OperatorChange>;
+    {
+        T::decodeSubmission(text)
+        } -> std::same_as<Result<GraphSpec>>;
+    {
+        loop.now()
+        } -> std::same_as<TimePoint>;
+    {
+        loop.timers()
+        } -> std::same_as<TimerService &>;
 };
 
 /// Everything that differs from platform to platform.
 template <typename T>
-concept PoolPlatform = PoolBackground<T> && WorkerClient<typename T::Worker>
-    && requires(const ServerRequest &request, const PoolCall &call, const CallAnswer &answer) {
-           { T::decodeCall(request) } -> std::same_as<std::optional<PoolCall>>;
-           { T::encodeAnswer(call, answer) } -> std::same_as<ServerResponse>;
-           { T::isReadyQuestion(request) } -> std::same_as<bool>;
-           { T::decodeAnnouncement(request) } -> std::same_as<Result<WorkerAnnouncement>>;
-           { T::departedWorker(request) } -> std::same_as<std::optional<std::string>>;
-       };
+concept PoolPlatform = PoolBackground<T> && WorkerClient<typename T::Worker> && requires(const ServerRequest &request, const PoolCall &call,
+                                                                                         const CallAnswer &answer)
+{
+    {
+        T::decodeCall(request)
+        } -> std::same_as<std::optional<PoolCall>>;
+    {
+        T::encodeAnswer(call, answer)
+        } -> std::same_as<ServerResponse>;
+    {
+        T::isReadyQuestion(request)
+        } -> std::same_as<bool>;
+    {
+        T::decodeAnnouncement(request)
+        } -> std::same_as<Result<WorkerAnnouncement>>;
+    {
+        T::departedWorker(request)
+        } -> std::same_as<std::optional<std::string>>;
+};
 
 } // namespace banyanlock
--- a/src/program/OperatorClient.h
+++ b/src/program/OperatorClient.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/Result.h"
-#include "runtime/HttpMessage.h"
 #include "program/ExitCode.h"
+#include "runtime/HttpMessage.h"
 
 #include <nlohmann/json.hpp>
 #include <string>
--- a/src/program/WorkCommands.cpp
+++ b/src/program/WorkCommands.cpp
@@ -1,8 +1,8 @@
-#include "store/TableCodec.h"
 #include "program/Commands.h"
 #include "program/OperatorClient.h"
 #include "program/ReplyPrinter.h"
 #include "program/TablePrinter.h"
+#include "store/TableCodec.h"
 
 #include <array>
 #include <chrono>
--- a/standins/WorkerStandin.cpp
+++ b/standins/WorkerStandin.cpp
@@ -4,8 +4,8 @@
 #include "core/Random.h"
 #include "core/SettingKey.h"
 #include "runtime/HttpClient.h"
-#include "store/TableCodec.h"
 #include "schedule/WorkerCodec.h"
+#include "store/TableCodec.h"
 
 #include <iostream>
 #include <map>
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -233,6 +233,7 @@
                 }
                 world.run(fromMilliseconds(100 + random.below(1500)));
             }
+            world.calmNetwork();
             world.rows().down = false;
             world.rows().lostAnswers = 0.0;
             world.rows().lateWrites = 0.0;
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -118,6 +118,13 @@
     /// @return Newest answer to a call for a job.
     const CallAnswer &answerFor(const std::string &job) const;
 
+    /// Ends the loss of messages and the lateness of orders.
+    void calmNetwork()
+    {
+        m_options.lostMessages = 0.0;
+        m_options.lateOrders = 0.0;
+    }
+
     // Faults
     void killEntry(std::size_t entry);
     void cutEntryFromStore(std::size_t entry, bool cut);
