--- a/bench/CapacityBench.cpp
+++ b/bench/CapacityBench.cpp
@@ -149,7 +149,7 @@
                 m_bytes += sent.size() + received.size();
                 m_cell->onReport(message->worker, valueOf(decodeWorkerReport(received)), m_now);
             } else if (CommitJob *commit = std::get_if<CommitJob>(&action)) {
-                m_cell->onCommit(commit->job, {CommitState::Committed, ++m_version}, m_now);
+                m_cell->onCommit(commit->job, {CommitState::Committed, ++m_version, {}}, m_now);
             }
         }
     }
--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -22,7 +22,7 @@
 start() {
     local name=$1
     shift
-    "$@" >"$run/$name.out" 2>>"$run/$name.log" &
+    "$@" >>"$run/$name.log" 2>&1 &
     process_ids[$name]=$!
 }
 
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,18 +1,22 @@
 #include "core/Log.h"
 
+#include "core/LogStream.h"
+
 #include <algorithm>
 #include <array>
-#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 #include <chrono>
-#include <iostream>
+#include <map>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <optional>
+#include <unistd.h>
+#include <utility>
 
 namespace banyanlock
 {
@@ -49,16 +53,46 @@
     return text.data();
 }
 
+/// Lines of one kind in the present second.
+struct LineBudget {
+    std::chrono::steady_clock::time_point second{};
+    std::uint32_t written = 0;
+    std::uint64_t suppressed = 0;
+};
+
+/// Bounds the lines of each kind.
+/// @return Lines of the kind that were left out since the last one, or nothing if this one is to be left out.
+std::optional<std::uint64_t> admit(std::string_view event)
+{
+    constexpr std::uint32_t linesPerSecond = 200; // of one kind; at 200 bytes a line 40 KB a second
+    static std::mutex mutex;
+    static std::map<std::string, LineBudget, std::less<>> budgets;
+    const std::lock_guard lock(mutex);
+    auto found = budgets.find(event);
+    if (found == budgets.end()) {
+        found = budgets.emplace(std::string(event), LineBudget()).first;
+    }
+    LineBudget &budget = found->second;
+    const auto now = std::chrono::steady_clock::now();
+    if (now - budget.second >= std::chrono::seconds(1)) {
+        budget.second = now;
+        budget.written = 0;
+    }
+    if (budget.written >= linesPerSecond) {
+        ++budget.suppressed;
+        return std::nullopt;
+    }
+    ++budget.written;
+    return std::exchange(budget.suppressed, 0);
+}
+
 } // namespace
 
 void Log::start(std::string_view role, std::string_view name, LogLevel level)
 {
     identity() = {std::string(role), std::string(name), level, true};
-    using Backend = logging::sinks::text_ostream_backend;
-    auto backend = boost::make_shared<Backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-    backend->auto_flush(true);
-    auto sink = boost::make_shared<logging::sinks::synchronous_sink<Backend>>(backend);
+    auto backend = boost::make_shared<LogStream>(STDOUT_FILENO);
+    auto sink = boost::make_shared<logging::sinks::synchronous_sink<LogStream>>(backend);
     sink->set_formatter(logging::expressions::stream << logging::expressions::smessage);
     logging::core::get()->add_sink(sink);
 }
@@ -73,12 +107,19 @@
     if (!identity().started || level < identity().level) {
         return;
     }
+    const std::optional<std::uint64_t> suppressed = admit(event);
+    if (!suppressed) {
+        return;
+    }
     nlohmann::ordered_json line;
     line["time"] = utcTimestamp();
     line["level"] = levelNames[static_cast<std::size_t>(level)];
     line["role"] = identity().role;
     line["name"] = identity().name;
     line["event"] = event;
+    if (*suppressed > 0) {
+        line["suppressed_before"] = *suppressed;
+    }
     for (const LogField &field : fields) {
         std::visit(
             [&](const auto &value) {
--- a/src/core/Log.h
+++ b/src/core/Log.h
@@ -23,7 +23,7 @@
     std::variant<std::int64_t, std::string> value; ///< Number or text.
 };
 
-/// Writes log lines as JSON objects, one a line, to standard error.
+/// Writes log lines as JSON objects, one a line, to standard output. It never blocks, and bounds the lines of each kind.
 class Log
 {
 public:
--- /dev/null
+++ b/src/core/LogStream.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include <boost/log/sinks/basic_sink_backend.hpp>
+#include <cstdint>
+#include <string>
+
+namespace banyanlock
+{
+
+/// Writes whole lines to a file descriptor without ever blocking: a line that the reader has no room for is dropped and counted.
+class LogStream : public boost::log::sinks::basic_formatted_sink_backend<char, boost::log::sinks::synchronized_feeding>
+{
+public:
+    /// @param descriptor Where to write.
+    explicit LogStream(int descriptor)
+        : m_descriptor(descriptor)
+    {
+    }
+
+    /// Writes one line. Called by the sink.
+    /// @param view The record.
+    /// @param line Its text, without line end.
+    void consume(const boost::log::record_view &view, const string_type &line);
+
+private:
+    bool write(const std::string &text) const;
+
+    int m_descriptor;
+    std::uint64_t m_dropped = 0; // lines since the last one that was written
+};
+
+} // namespace banyanlock
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Latencies.h"
 #include "core/Log.h"
 #include "graph/GraphCodec.h"
 #include "poolhost/PoolMirror.h"
@@ -30,23 +31,25 @@
     /// @param mirror Copy of the rows.
     /// @param staleLimit Age of the operators' rows from which they are not believed any more.
     /// @param counters Counters.
+    /// @param latencies Latencies.
     PoolApi(typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit,
-            Counters &counters)
+            Counters &counters, Latencies &latencies)
         : m_loop(loop)
         , m_store(store)
         , m_mirror(mirror)
         , m_staleLimit(staleLimit)
         , m_counters(counters)
+        , m_latencies(latencies)
     {
     }
 
     /// Handles a call.
     /// @param call The call.
     /// @param respond Answers it.
-    void handle(PoolCall call, const Responder &respond)
+    void handle(const PoolCall &call, const Responder &respond)
     {
         auto exchange = std::make_shared<Exchange>();
-        exchange->call = std::move(call);
+        exchange->call = call;
         exchange->receivedAt = m_loop.now();
         exchange->respond = respond;
         begin(exchange);
@@ -348,6 +351,7 @@
     PoolMirror<Platform> &m_mirror;
     Duration m_staleLimit;
     Counters &m_counters;
+    Latencies &m_latencies;
 };
 
 } // namespace banyanlock
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -37,8 +37,8 @@
         , m_mirror(m_store, m_loop, m_counters)
         , m_scheduler(m_mirror.jobs(), m_mirror.operators(), Platform::operatorRows(), makeTimes(m_settings), makePolicy(m_settings),
                       m_counters)
-        , m_owner(m_settings.name, makeIncarnation(), m_loop, m_store, m_mirror, m_scheduler, m_counters)
-        , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters)
+        , m_owner(m_settings.name, makeIncarnation(), m_loop, m_store, m_mirror, m_scheduler, m_counters, m_latencies)
+        , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters, m_latencies)
         , m_callers(m_loop, HttpServerLimits(), m_counters,
                     [this](const ServerRequest &request, const HttpServer::Responder &respond) {
                         serveCaller(request, respond);
@@ -50,7 +50,7 @@
         , m_metrics(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
             ServerResponse response;
             response.contentType = "text/plain; version=0.0.4";
-            response.body = std::make_shared<const std::string>(m_counters.toPrometheus());
+            response.body = std::make_shared<const std::string>(m_counters.toPrometheus() + m_latencies.toPrometheus());
             respond(std::move(response));
         })
     {
@@ -172,8 +172,8 @@
             step(now);
         }
         m_owner.flush(now);
-        for (CallAgent &call : m_scheduler.takeCalls()) {
-            send(std::move(call), now);
+        for (const CallAgent &call : m_scheduler.takeCalls()) {
+            send(call, now);
         }
     }
 
@@ -190,12 +190,13 @@
         }
     }
 
-    void send(CallAgent call, TimePoint now)
+    void send(const CallAgent &call, TimePoint now)
     {
         const std::string agent = call.agent;
         const std::uint64_t number = call.call;
-        m_rpc.supervise(agent, std::move(call.request), call.timeout, [this, agent, number, now](RpcResult<WorkerStatus> result) {
+        m_rpc.supervise(agent, call.request, call.timeout, [this, agent, number, now](RpcResult<WorkerStatus> result) {
             m_loop.post([this, agent, number, now, result = std::move(result)] {
+                m_latencies.record(Latency::AgentCall, EventLoop::now() - now);
                 m_scheduler.onAnswer(agent, number, std::get_if<WorkerStatus>(&result), now, EventLoop::now());
             });
         });
@@ -237,6 +238,7 @@
     PoolEntrySettings m_settings;
     std::string m_settingsPath;
     Counters m_counters;
+    Latencies m_latencies;
     EventLoop m_loop;
     HttpClient m_http;
     RpcNode m_rpc;
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Latencies.h"
 #include "core/Log.h"
 #include "poolhost/PoolMirror.h"
 
@@ -36,8 +37,9 @@
     /// @param mirror Copy of the rows.
     /// @param scheduler Scheduler of the pool.
     /// @param counters Counters.
+    /// @param latencies Latencies.
     PoolOwner(std::string name, std::uint64_t incarnation, typename Platform::Loop &loop, typename Platform::Store &store,
-              PoolMirror<Platform> &mirror, PoolScheduler &scheduler, Counters &counters)
+              PoolMirror<Platform> &mirror, PoolScheduler &scheduler, Counters &counters, Latencies &latencies)
         : m_name(std::move(name))
         , m_incarnation(incarnation)
         , m_loop(loop)
@@ -45,6 +47,7 @@
         , m_mirror(mirror)
         , m_scheduler(scheduler)
         , m_counters(counters)
+        , m_latencies(latencies)
     {
         // Entries differ in when they try, by a number that their names give.
         m_staggered = m_times.stagger * static_cast<std::int64_t>(std::hash<std::string>()(m_name) % staggerSteps);
@@ -194,6 +197,7 @@
         m_sent = true;
         m_store.commit(*m_pendingTransaction, [this, sentAt = now](const CommitResult &result) {
             m_sent = false;
+            m_latencies.record(Latency::OwnerTransaction, m_loop.now() - sentAt);
             onResult(result, sentAt);
         });
     }
@@ -267,6 +271,7 @@
     PoolMirror<Platform> &m_mirror;
     PoolScheduler &m_scheduler;
     Counters &m_counters;
+    Latencies &m_latencies;
     Duration m_staggered{};
     std::optional<TableTransaction> m_pendingTransaction; // sent until its outcome is known
     OwnerRow m_writtenRow;
--- a/src/runtime/EventLoop.cpp
+++ b/src/runtime/EventLoop.cpp
@@ -97,6 +97,7 @@
 void EventLoop::run()
 {
     const auto guard = asio::make_work_guard(m_context);
+    m_context.restart();
     runEvent([] {
     });
     m_context.run();
--- a/src/store/TableClient.cpp
+++ b/src/store/TableClient.cpp
@@ -54,7 +54,7 @@
         } else if (reply.delivery == HttpDelivery::Complete && reply.status == httpOk) {
             const Result<ScanResult> decoded = decodeScan(reply.body);
             if (isOk(decoded)) {
-                result = {CommitState::Committed, valueOf(decoded).version};
+                result = {CommitState::Committed, valueOf(decoded).version, {}};
             }
         }
         callback(result);
--- a/standins/TableModel.cpp
+++ b/standins/TableModel.cpp
@@ -17,7 +17,7 @@
         return versionOf(check.table, check.key) == check.version;
     });
     if (!holds) {
-        return {CommitState::Conflict, 0};
+        return {CommitState::Conflict, 0, {}};
     }
     ++m_version;
     for (const RowWrite &write : transaction.writes) {
@@ -28,7 +28,7 @@
             m_rows.erase({write.table, write.key});
         }
     }
-    return {CommitState::Committed, m_version};
+    return {CommitState::Committed, m_version, {}};
 }
 
 RowResult TableModel::read(const std::string &table, const std::string &key) const
--- /dev/null
+++ b/tests/platform/RowStoreTest.cpp
@@ -0,0 +1,143 @@
+#include "platform/RowStore.h"
+#include "http/HttpServer.h"
+#include "platform/Base64.h"
+
+#include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
+
+namespace banyanlock::platform
+{
+namespace
+{
+
+/// A store that answers each call with a prepared status and body, and keeps what it was asked.
+struct ScriptedStore {
+    ScriptedStore(EventLoop &loop, Counters &counters, std::uint16_t port)
+        : server(loop, HttpServerLimits(), counters, [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+            requests.push_back(request);
+            ServerResponse response;
+            response.status = status;
+            response.contentType = "application/json";
+            response.body = std::make_shared<const std::string>(bodies.empty() ? "{}" : bodies.front());
+            if (bodies.size() > 1) {
+                bodies.erase(bodies.begin());
+            }
+            respond(std::move(response));
+        })
+    {
+        BOOST_REQUIRE(isOk(server.listen({"127.0.0.1", port})));
+    }
+
+    int status = 200;
+    std::vector<std::string> bodies;
+    std::vector<ServerRequest> requests;
+    HttpServer server;
+};
+
+struct Fixture {
+    static constexpr std::uint16_t port = 18731;
+
+    Counters counters;
+    EventLoop loop;
+    HttpClient http{4};
+    ScriptedStore store{loop, counters, port};
+    RowStore client{"http://127.0.0.1:" + std::to_string(port), loop, http, counters};
+
+    CommitResult commit()
+    {
+        TableTransaction transaction;
+        transaction.checks = {{"pool", "owner", 7}};
+        transaction.writes = {{"pool", "owner", "value"}, {"pool", "old", std::nullopt}};
+        CommitResult taken;
+        client.commit(transaction, [&](const CommitResult &result) {
+            taken = result;
+            loop.stop();
+        });
+        loop.run();
+        return taken;
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RowStoreTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(aTransactionIsWrittenAsThePlatformWantsIt)
+{
+    store.bodies = {R"({"rowVersion":412,"nowMs":1})"};
+    const CommitResult result = commit();
+    BOOST_TEST(static_cast<int>(result.state) == static_cast<int>(CommitState::Committed));
+    BOOST_TEST(result.version == 412U);
+    const nlohmann::json body = nlohmann::json::parse(store.requests.front().body);
+    BOOST_TEST(body["expectedRev"][0]["rowVersion"] == 7);
+    BOOST_TEST(body["puts"][0]["value"] == encodeBase64("value"));
+    BOOST_TEST(body["remove"][0]["key"] == "old");
+}
+
+BOOST_AUTO_TEST_CASE(aConflictTellsThePresentRows)
+{
+    store.status = 412;
+    store.bodies = {R"({"rows":[{"table":"pool","part":"","key":"owner","value":")" + encodeBase64("other") + R"(","rowVersion":9}]})"};
+    const CommitResult result = commit();
+    BOOST_TEST(static_cast<int>(result.state) == static_cast<int>(CommitState::Conflict));
+    BOOST_REQUIRE(result.rows.size() == 1U);
+    BOOST_TEST(result.rows[0].value == "other");
+}
+
+BOOST_AUTO_TEST_CASE(onlyAProofOfNothingDoneCountsAsNotSent)
+{
+    for (const int status : {503, 429}) {
+        store.status = status;
+        BOOST_TEST(static_cast<int>(commit().state) == static_cast<int>(CommitState::NotSent));
+    }
+    store.status = 500;
+    BOOST_TEST(static_cast<int>(commit().state) == static_cast<int>(CommitState::Unknown));
+    store.status = 200;
+    store.bodies = {"not json"};
+    BOOST_TEST(static_cast<int>(commit().state) == static_cast<int>(CommitState::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(followingTellsChangesErasuresAndLostHistory)
+{
+    FollowResult taken;
+    const auto follow = [&] {
+        client.follow("op", 3, fromMilliseconds(50), [&](const FollowResult &result) {
+            taken = result;
+            loop.stop();
+        });
+        loop.run();
+    };
+    store.bodies = {R"({"rows":[{"table":"op","part":"","key":"evacuate/z","rowVersion":5,"deleted":true},{"key":3},)"
+                    R"({"table":"op","part":"","key":"config","rowVersion":6,"value":"!!"}],"rowVersion":6})"};
+    follow();
+    BOOST_TEST(static_cast<int>(taken.state) == static_cast<int>(FollowState::Followed));
+    BOOST_REQUIRE(taken.rows.size() == 1U); // the unreadable rows harm no other
+    BOOST_TEST(taken.rows[0].erased);
+    BOOST_TEST(taken.version == 6U);
+    store.status = 410;
+    follow();
+    BOOST_TEST(static_cast<int>(taken.state) == static_cast<int>(FollowState::HistoryLost));
+    store.status = 503;
+    follow();
+    BOOST_TEST(static_cast<int>(taken.state) == static_cast<int>(FollowState::Unavailable));
+}
+
+BOOST_AUTO_TEST_CASE(aTableIsReadPageByPage)
+{
+    store.bodies = {R"({"rows":[{"table":"pool","part":"","key":"a","rowVersion":5,"value":""}],"hasMore":true,"rowVersion":9})",
+                    R"({"rows":[{"table":"pool","part":"","key":"b","rowVersion":6,"value":""}],"hasMore":false,"rowVersion":11})"};
+    ScanResult taken;
+    client.readTable("pool", [&](const ScanResult &result) {
+        taken = result;
+        loop.stop();
+    });
+    loop.run();
+    BOOST_TEST(taken.available);
+    BOOST_TEST(taken.rows.size() == 2U);
+    BOOST_TEST(taken.version == 9U); // what changes while pages are read is followed from the first
+    BOOST_TEST(store.requests.at(1).parameter("startKey") == std::string("a") + '\0');
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace banyanlock::platform
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -203,6 +203,7 @@
     Random m_random;
     VirtualRows m_rows;
     Counters m_counters;
+    Latencies m_latencies;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::list<std::unique_ptr<Entry>> m_ended; // processes that were killed: callbacks may still name them
     std::vector<std::unique_ptr<Agent>> m_agents;
--- a/tests/schedule/ScheduleWorldActions.cpp
+++ b/tests/schedule/ScheduleWorldActions.cpp
@@ -105,18 +105,18 @@
               });
           };
     if (!storeAnswers(entry)) {
-        answer({CommitState::NotSent, 0}, fromMilliseconds(10));
+        answer({CommitState::NotSent, 0, {}}, fromMilliseconds(10));
         return;
     }
     if (m_random.chance(m_options.storeLosesRequest)) {
-        answer({CommitState::Unknown, 0}, storeTimeout);
+        answer({CommitState::Unknown, 0, {}}, storeTimeout);
         return;
     }
     const Duration delay = storeDelay();
     const bool tooSlow = delay >= storeTimeout;
     if (tooSlow) {
         // The owner stops waiting, but the transaction takes effect later.
-        answer({CommitState::Unknown, 0}, storeTimeout);
+        answer({CommitState::Unknown, 0, {}}, storeTimeout);
     }
     m_network.after(delay, [this, answer, tooSlow, transaction = action.transaction] {
         const CommitResult result = m_store.commit(transaction);
@@ -124,7 +124,7 @@
             return;
         }
         const bool lost = m_random.chance(m_options.storeLosesAnswer);
-        answer(lost ? CommitResult{CommitState::Unknown, 0} : result, lost ? storeTimeout : Duration(m_random.below(5000)));
+        answer(lost ? CommitResult{CommitState::Unknown, 0, {}} : result, lost ? storeTimeout : Duration(m_random.below(5000)));
     });
 }
 
