Take over after 2 s, close unanswered starts after 0.3 s, and stop entries sooner

Change: the owner renews each 0.5 s and is followed after 2 s; an unanswered start is closed after 0.3 s, and its worker is asked at once; a stopping entry leaves 2.5 s after the signal.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -38,6 +38,7 @@
     m_silent = false;
     m_lapsed = false;
     m_renewalOut = false;
+    m_lookNow = false;
     m_renewalEpoch = 0;
     m_nextRenewal = TimePoint();
     m_runs.clear();
@@ -355,7 +356,10 @@
         m_confirmed[action.run] = now; // until lists that are newer than the stop show the end, or nothing
     }
     found->second.nextTry = now + m_times.poll;
-    m_nextRenewal = std::min(m_nextRenewal, now + m_times.repeat);
+    if (m_confirmed.contains(action.run)) {
+        m_lookNow = true;
+        m_nextRenewal = now;
+    }
     changed();
 }
 
@@ -392,10 +396,10 @@
     if (!m_worker || m_epoch == 0 || now < m_nextRenewal) {
         return;
     }
-    if (m_renewalOut && m_renewalEpoch >= m_epoch && now - m_renewalSentAt < m_times.poll + m_times.orderLimit) {
+    if (m_renewalOut && !m_lookNow && m_renewalEpoch >= m_epoch && now - m_renewalSentAt < m_times.poll + m_times.answerSlack) {
         return;
     }
-    if (m_renewalOut && now - m_renewalSentAt < m_times.repeat) {
+    if (m_renewalOut && !m_lookNow && now - m_renewalSentAt < m_times.repeat) {
         return;
     }
     RenewWorker renewal;
@@ -407,11 +411,12 @@
         renewal.leaseEnd = workerClock(now) + m_times.lease - sinceContact;
         m_leaseSentAt = now;
     }
-    const bool waits = m_listed && m_ends.empty() && m_renewalEpoch >= m_epoch;
+    const bool waits = m_listed && !m_lookNow && m_ends.empty() && m_renewalEpoch >= m_epoch;
+    m_lookNow = false;
     renewal.wait = waits ? m_times.poll : Duration();
     m_renewalOut = true;
     m_renewalSentAt = now;
-    m_nextRenewal = now + m_times.poll + m_times.orderLimit;
+    m_nextRenewal = now + m_times.poll + m_times.answerSlack;
     m_actions.emplace_back(renewal);
 }
 
@@ -444,7 +449,7 @@
 
 TimePoint WorkerSupervisor::nextStep(TimePoint now) const
 {
-    TimePoint next = now + m_times.poll + m_times.orderLimit;
+    TimePoint next = now + m_times.poll + m_times.answerSlack;
     if (m_worker && m_epoch != 0) {
         next = std::min(next, std::max(m_nextRenewal, now + fromMilliseconds(1)));
         if (m_renewalOut && m_renewalEpoch < m_epoch) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -22,7 +22,8 @@
     Duration repeat = fromMilliseconds(200); ///< Pause between two looks at a list whose ends are not acknowledged, and after failures.
     Duration silence = fromMilliseconds(2500); ///< Time without lists after which the lease is not renewed; bears one lost answer.
     Duration leaseSlack = fromMilliseconds(320); ///< The worker's clock may run 2 % slow, and timers fire late.
-    Duration orderLimit = fromMilliseconds(700); ///< Time after which an unanswered start is closed by a stop.
+    Duration orderLimit = fromMilliseconds(300); ///< Time after which an unanswered start is closed by a stop; the worker is on the agent's instance.
+    Duration answerSlack = fromMilliseconds(700); ///< Time for lists to come beyond the wait.
 };
 
 /// Asks the worker for its lists, renews its lease and acknowledges ends.
@@ -193,6 +194,7 @@
 
     bool m_listed = false;
     bool m_renewalOut = false;
+    bool m_lookNow = false; // newer lists are wanted at once, beside those that are waited for
     std::uint64_t m_renewalEpoch = 0; // highest epoch that the worker has surely heard of
     TimePoint m_renewalSentAt{};
     TimePoint m_leaseSentAt{}; // when the lease was last renewed, answered or not
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -208,9 +208,10 @@
         m_stopping = true;
         m_owner.drain();
         m_callers.closeAfterAnswers();
-        // The balancer needs two looks to notice; callers' connections are served until shortly before the kill.
-        constexpr Duration reserve = fromMilliseconds(1500);
-        const TimePoint end = EventLoop::now() + fromMilliseconds(m_settings.stopMilliseconds) - reserve;
+        // The balancer needs two looks, a second apart, to notice; an entry that is back early can take the next one's load.
+        constexpr Duration notice = fromMilliseconds(2500);
+        constexpr Duration reserve = fromMilliseconds(1500); // for the last answers, before the kill
+        const TimePoint end = EventLoop::now() + std::min(notice, fromMilliseconds(m_settings.stopMilliseconds) - reserve);
         m_loop.timers().subscribe(end, [this](TimePoint) {
             m_callers.stopListening();
             stopWhenIdle();
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -15,8 +15,8 @@
 
 /// Times of the pool's ownership.
 struct OwnershipTimes {
-    Duration renewal = fromMilliseconds(1000); ///< Longest time between two transactions of the owner.
-    Duration takeAfter = fromMilliseconds(3000); ///< Time without one after which another entry takes the pool; bears two lost ones.
+    Duration renewal = fromMilliseconds(500); ///< Longest time between two transactions of the owner.
+    Duration takeAfter = fromMilliseconds(2000); ///< Time without one after which another entry takes the pool; bears two lost ones, and changes that are told a second late.
     Duration stagger = fromMilliseconds(150); ///< Spread of the entries' tries, so that mostly one of them writes.
     Duration retry = fromMilliseconds(200); ///< Pause after a transaction that did not go through.
     Duration check = fromMilliseconds(250); ///< Time between two looks at the owner's row.
@@ -67,7 +67,9 @@
     {
         const OwnerRow &row = m_mirror.owner();
         const bool mine = isMine(row);
-        if (m_scheduler.isOwned() && !mine) {
+        if (m_scheduler.isOwned() && !mine && m_drainRequested && row.owner.empty() && row.epoch == m_writtenRow.epoch) {
+            release(); // the row has come back before the answer to the transaction
+        } else if (m_scheduler.isOwned() && !mine) {
             lose("another entry owns the row");
         } else if (!m_scheduler.isOwned() && mine && row.epoch == m_takenEpoch && !m_drainRequested) {
             // The row has come back with everything that was written before it.
@@ -144,6 +146,14 @@
         return row.owner == m_name && row.incarnation == m_incarnation;
     }
 
+    void release()
+    {
+        Log::info("ownership_given_up", {{"epoch", static_cast<std::int64_t>(m_writtenRow.epoch)}});
+        m_pendingTransaction.reset();
+        m_scheduler.disown();
+        m_mirror.setOwnsProgress(false);
+    }
+
     void lose(const char *reason)
     {
         Log::warning("ownership_lost", {{"reason", std::string(reason)}});
@@ -228,9 +238,7 @@
         m_pendingTransaction.reset();
         m_lastWrite = sentAt;
         if (m_writtenRow.owner.empty()) {
-            Log::info("ownership_given_up", {{"epoch", static_cast<std::int64_t>(m_writtenRow.epoch)}});
-            m_scheduler.disown();
-            m_mirror.setOwnsProgress(false);
+            release();
             return;
         }
         if (m_carriesBatch) {
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -12,7 +12,8 @@
 {
 
 constexpr Duration workerStep = fromMilliseconds(50);
-constexpr Duration orderLimit = fromMilliseconds(700);
+constexpr Duration orderLimit = fromMilliseconds(300);
+constexpr Duration listLimit = fromMilliseconds(700);
 constexpr std::int64_t epochStart = 1'700'000'000'000; // time of day at the start of virtual time
 
 Resources workerCapacity()
@@ -360,7 +361,7 @@
 {
     Agent &agent = *m_agents[index];
     if (agent.workerCut) {
-        m_network.after(orderLimit, [&agent, generation, action, this] {
+        m_network.after(listLimit, [&agent, generation, action, this] {
             agent.loop->after(Duration::zero(), [&agent, generation, action, this] {
                 if (generation == agent.generation) {
                     agent.supervisor->onLists(action, std::nullopt, m_now);
