--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -22,7 +22,8 @@
     Duration repeat = fromMilliseconds(200); ///< Pause between two looks at a list whose ends are not acknowledged, and after failures.
     Duration silence = fromMilliseconds(2500); ///< Time without lists after which the lease is not renewed; bears one lost answer.
     Duration leaseSlack = fromMilliseconds(320); ///< The worker's clock may run 2 % slow, and timers fire late.
-    Duration orderLimit = fromMilliseconds(300); ///< Time after which an unanswered start is closed by a stop; the worker is on the agent's instance.
+    Duration orderLimit
+        = fromMilliseconds(300); ///< Time after which an unanswered start is closed by a stop; the worker is on the agent's instance.
     Duration answerSlack = fromMilliseconds(700); ///< Time for lists to come beyond the wait.
 };
 
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -16,7 +16,8 @@
 /// Times of the pool's ownership.
 struct OwnershipTimes {
     Duration renewal = fromMilliseconds(500); ///< Longest time between two transactions of the owner.
-    Duration takeAfter = fromMilliseconds(2000); ///< Time without one after which another entry takes the pool; bears two lost ones, and changes that are told a second late.
+    Duration takeAfter = fromMilliseconds(
+        2000); ///< Time without one after which another entry takes the pool; bears two lost ones, and changes that are told a second late.
     Duration stagger = fromMilliseconds(150); ///< Spread of the entries' tries, so that mostly one of them writes.
     Duration retry = fromMilliseconds(200); ///< Pause after a transaction that did not go through.
     Duration check = fromMilliseconds(250); ///< Time between two looks at the owner's row.
--- a/src/program/Commands.h
+++ b/src/program/Commands.h
@@ -25,6 +25,9 @@
 /// @return Commands on contracts, failure domains and status.
 std::span<const Command> operatorCommands();
 
+/// @return Commands that read logs.
+std::span<const Command> explainCommands();
+
 /// @return Commands on requests and jobs.
 std::span<const Command> workCommands();
 
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -12,7 +12,7 @@
 std::vector<Command> allCommands()
 {
     std::vector<Command> commands;
-    for (const std::span<const Command> group : {daemonCommands(), poolCommands(), operatorCommands(), workCommands()}) {
+    for (const std::span<const Command> group : {daemonCommands(), poolCommands(), operatorCommands(), workCommands(), explainCommands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
