Erase the rows of ended jobs and of lost agents after ten minutes

Cause: nothing was ever erased, so memory and rows would grow without bound. Change: the owner erases them in its transactions. Test: endedJobsAndLostAgentsAreErasedAfterTheirTime.

--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -55,8 +55,9 @@
         if (!isSpec) {
             return {};
         }
-        m_open.erase(*id);
-        return m_records.erase(*id) > 0 ? *id : std::string();
+        const bool known = m_records.contains(*id);
+        erase(*id);
+        return known ? *id : std::string();
     }
     GraphRecord &record = m_records[*id];
     record.id = *id;
@@ -71,7 +72,7 @@
     }
     if (changed && record.isWhole()) {
         if (hasEnded(record.progress.state)) {
-            m_open.erase(*id);
+            close(*id);
         } else {
             m_open.insert(*id);
         }
@@ -83,6 +84,7 @@
 {
     m_records.clear();
     m_open.clear();
+    m_ended.clear();
 }
 
 GraphRecord *GraphTable::find(const std::string &id)
--- a/src/pool/GraphTable.h
+++ b/src/pool/GraphTable.h
@@ -38,11 +38,27 @@
         return m_open;
     }
 
+    /// @return Ids of the jobs that have ended.
+    const std::set<std::string> &ended() const
+    {
+        return m_ended;
+    }
+
     /// Notes that a job has nothing left to do.
     /// @param id Id of the job.
     void close(const std::string &id)
     {
         m_open.erase(id);
+        m_ended.insert(id);
+    }
+
+    /// Forgets a job whose rows were erased.
+    /// @param id Id of the job.
+    void erase(const std::string &id)
+    {
+        m_open.erase(id);
+        m_ended.erase(id);
+        m_records.erase(id);
     }
 
     /// @param queue Name of a queue.
@@ -55,6 +71,7 @@
 
     std::map<std::string, GraphRecord> m_records;
     std::set<std::string> m_open;
+    std::set<std::string> m_ended;
 };
 
 } // namespace banyanlock
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -101,6 +101,9 @@
     m_batchJobs.clear();
     m_endsInBatch.clear();
     m_waitingSince.clear();
+    m_endedSince.clear();
+    m_erasedJobs.clear();
+    m_erasedAgents.clear();
     m_calls.clear();
     m_batchOut = false;
 }
@@ -149,12 +152,57 @@
     m_changed = false;
 }
 
-std::optional<PoolBatch> PoolScheduler::takeBatch()
+void PoolScheduler::addErasures(PoolBatch &batch, TimePoint now)
 {
-    if (!isOwned() || m_batchOut || m_dirty.empty()) {
+    // Each job takes three entries of a transaction that may have a hundred.
+    constexpr std::size_t mostErasures = 10;
+    const std::string table(PoolRows::table);
+    for (const std::string &id : m_jobs.ended()) {
+        const TimePoint since = m_endedSince.try_emplace(id, now).first->second;
+        if (now - since < m_times.retention || m_erasedJobs.size() >= mostErasures) {
+            continue;
+        }
+        for (const std::string_view prefix : {PoolRows::specPrefix, PoolRows::progressPrefix, PoolRows::cancelPrefix}) {
+            batch.writes.push_back({table, PoolRows::keyOf(prefix, id), std::nullopt});
+        }
+        m_erasedJobs.push_back(id);
+    }
+    for (const auto &[agent, worker] : m_workers) {
+        const bool used = std::ranges::any_of(m_units, [&](const auto &entry) {
+            return std::ranges::any_of(entry.second.members, [&](const ActiveMember &member) {
+                return member.place.agent == agent;
+            });
+        });
+        if (!used && now - std::max(worker.answeredAt, m_ownedAt) > m_times.retention && m_erasedAgents.size() < mostErasures) {
+            batch.writes.push_back({table, PoolRows::keyOf(PoolRows::workerPrefix, agent), std::nullopt});
+            m_erasedAgents.push_back(agent);
+        }
+    }
+}
+
+void PoolScheduler::noteErased()
+{
+    for (const std::string &id : std::exchange(m_erasedJobs, {})) {
+        m_jobs.erase(id);
+        m_endedSince.erase(id);
+        m_counters.add(Counter::JobsErased);
+    }
+    for (const std::string &agent : std::exchange(m_erasedAgents, {})) {
+        Log::info("agent_erased", {{"agent", agent}});
+        m_workers.erase(agent);
+    }
+}
+
+std::optional<PoolBatch> PoolScheduler::takeBatch(TimePoint now)
+{
+    if (!isOwned() || m_batchOut) {
         return std::nullopt;
     }
     PoolBatch batch;
+    addErasures(batch, now);
+    if (m_dirty.empty() && batch.writes.empty()) {
+        return std::nullopt;
+    }
     std::set<std::string> domains;
     std::set<std::string> starting;
     std::vector<std::string> written;
@@ -208,8 +256,13 @@
         return;
     }
     m_batchOut = false;
+    noteErased();
     for (const auto &[agent, end] : m_endsInBatch) {
-        PoolWorker &worker = m_workers.at(agent);
+        const auto found = m_workers.find(agent);
+        if (found == m_workers.end()) {
+            continue;
+        }
+        PoolWorker &worker = found->second;
         if (end > worker.recordedEnd && end <= worker.processedEnd) {
             worker.recordedEnd = end;
         }
@@ -233,6 +286,8 @@
     }
     m_batchOut = false;
     m_endsInBatch.clear();
+    m_erasedJobs.clear();
+    m_erasedAgents.clear();
     for (const UnitId &id : std::exchange(m_recording, {})) {
         GraphRecord *job = m_jobs.find(id.first);
         BANYANLOCK_ASSERT(job != nullptr);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -37,6 +37,7 @@
         5000); ///< Time for which an owner that can't reach the table service renews leases; with the lease it bears an outage of 8 s.
     Duration stopRepeat = fromMilliseconds(500); ///< Pause between two stops of the same run.
     Duration gangGrace = fromMilliseconds(1200); ///< Time for all members of a gang to start; under half of what members wait.
+    Duration retention = std::chrono::minutes(10); ///< Time for which ended jobs, and agents without an answer, are kept; callers ask for two minutes.
     Duration planRepeat = fromMilliseconds(500); ///< Longest time between two plans: due times and patience are noticed this late.
     Duration quarantine = fromMilliseconds(5000); ///< Time for which a worker that fails what it is given gets nothing.
 };
@@ -149,8 +150,9 @@
     /// @param unixMilliseconds Time of day by this instance's clock.
     void step(TimePoint now, std::int64_t unixMilliseconds);
 
+    /// @param now Current time.
     /// @return The transaction that is due, if any has something to write; it is under way until `onCommitted` or `onConflict`.
-    std::optional<PoolBatch> takeBatch();
+    std::optional<PoolBatch> takeBatch(TimePoint now);
 
     /// Takes in that the batch has taken effect.
     /// @param now Current time.
@@ -192,6 +194,8 @@
     // PoolScheduler.cpp: ownership and rows
     void adoptRunning(TimePoint now);
     void markDirty(const std::string &job);
+    void addErasures(PoolBatch &batch, TimePoint now);
+    void noteErased();
 
     // PoolUnits.cpp: life cycle of units
     void takeStatus(PoolWorker &worker, TimePoint now);
@@ -248,6 +252,9 @@
     std::vector<std::string> m_batchJobs; // jobs whose progress the batch under way writes
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent
     std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
+    std::map<std::string, TimePoint> m_endedSince; // jobs that have ended, by the time at which this owner first knew
+    std::vector<std::string> m_erasedJobs; // whose rows the batch under way erases
+    std::vector<std::string> m_erasedAgents; // whose rows the batch under way erases
     std::vector<CallAgent> m_calls;
     TimePoint m_ownedAt{};
     TimePoint m_othersRenewUntil{}; // an earlier owner that is cut off may renew leases until then
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -96,7 +96,7 @@
             send(now);
             return;
         }
-        std::optional<PoolBatch> batch = m_scheduler.takeBatch();
+        std::optional<PoolBatch> batch = m_scheduler.takeBatch(now);
         const bool release = m_drainRequested && !batch;
         if (!batch && !release && now - m_lastWrite < m_times.renewal) {
             return;
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -162,6 +162,28 @@
     BOOST_TEST(static_cast<int>(world.stateOf("job1")) == static_cast<int>(GraphState::Completed));
 }
 
+BOOST_AUTO_TEST_CASE(endedJobsAndLostAgentsAreErasedAfterTheirTime)
+{
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(2, 1, 1000)), "normal");
+    world.run(fromMilliseconds(4000));
+    world.removeAgent(5);
+    world.run(std::chrono::minutes(9));
+    world.ask("job1", 1);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").state) == static_cast<int>(GraphState::Completed));
+    world.run(std::chrono::minutes(2));
+    world.ask("job1", 1);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::NoSuchJob));
+    std::size_t rows = 0;
+    for (const auto &[key, row] : world.rows().rows) {
+        rows += row.erased ? 0 : 1;
+    }
+    BOOST_TEST(rows == 7U); // configuration, owner, five agents
+}
+
 BOOST_AUTO_TEST_CASE(aTaskThatFailsTooOftenEndsItsJob)
 {
     WorldOptions options;
