--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -37,7 +37,8 @@
         5000); ///< Time for which an owner that can't reach the table service renews leases; with the lease it bears an outage of 8 s.
     Duration stopRepeat = fromMilliseconds(500); ///< Pause between two stops of the same run.
     Duration gangGrace = fromMilliseconds(1200); ///< Time for all members of a gang to start; under half of what members wait.
-    Duration retention = std::chrono::minutes(10); ///< Time for which ended jobs, and agents without an answer, are kept; callers ask for two minutes.
+    Duration retention
+        = std::chrono::minutes(10); ///< Time for which ended jobs, and agents without an answer, are kept; callers ask for two minutes.
     Duration planRepeat = fromMilliseconds(500); ///< Longest time between two plans: due times and patience are noticed this late.
     Duration quarantine = fromMilliseconds(5000); ///< Time for which a worker that fails what it is given gets nothing.
 };
