Place a gang again as soon as its worker's crash is proved

Change: where nothing listens at the worker any more and the others ended for their partner, the run is over; nothing is placed on a worker that refuses connections. Test: aGangIsPlacedAgainSoonAfterOneOfItsWorkersCrashed failed first (it waited for the lease, then went to the same worker).

--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -114,8 +114,8 @@
 
 bool PoolScheduler::isUsable(const PoolWorker &worker, TimePoint now) const
 {
-    return worker.known && worker.status.answering && !worker.status.leaving && !worker.status.worker.draining && !isSilent(worker, now)
-        && now >= worker.quarantinedUntil && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
+    return worker.known && worker.status.answering && !worker.status.refusing && !worker.status.leaving && !worker.status.worker.draining
+        && !isSilent(worker, now) && now >= worker.quarantinedUntil && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
 }
 
 std::vector<PlanWorker> PoolScheduler::planWorkers(const std::vector<std::string> &agents, TimePoint now) const
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -203,6 +203,7 @@
     void settleMissing(const PoolWorker &worker, TimePoint now);
     void updateMember(ActiveMember &member, const PoolWorker &worker, TimePoint now);
     void expireSilent(TimePoint now);
+    void settleBroken(ActiveUnit &unit);
     void checkGang(ActiveUnit &unit, TimePoint now);
     void stop(ActiveUnit &unit, StopReason reason);
     void sendStops(ActiveUnit &unit, TimePoint now);
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -272,8 +272,39 @@
     }
 }
 
+void PoolScheduler::settleBroken(ActiveUnit &unit)
+{
+    // A member that ended because another one did proves that the gang's run is over. If no member that is known to have ended began it,
+    // one that is not heard of did; where nothing listens any more, its worker has gone.
+    bool broken = false;
+    for (const ActiveMember &member : unit.members) {
+        if (!member.ending) {
+            const PoolWorker *worker = findWorker(member.place);
+            if (worker == nullptr || !worker->known || !worker->status.refusing || worker->status.worker.life != member.place.life) {
+                return;
+            }
+        } else if (*member.ending == RunEnding::PartnerEnded) {
+            broken = true;
+        } else if (*member.ending != RunEnding::Stopped) {
+            return;
+        }
+    }
+    if (!broken) {
+        return;
+    }
+    for (ActiveMember &member : unit.members) {
+        if (!member.ending) {
+            member.ending = RunEnding::WorkerGone;
+            Log::info("run_gone_with_its_gang", {{"run", describe(member.run)}, {"worker", member.place.life.worker}});
+        }
+    }
+}
+
 void PoolScheduler::checkGang(ActiveUnit &unit, TimePoint now)
 {
+    if (unit.members.size() > 1) {
+        settleBroken(unit);
+    }
     if (unit.members.size() < 2 || unit.stopping != StopReason::None) {
         return;
     }
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -75,6 +75,7 @@
     bool listed = false; ///< The worker has told what runs on it in its present life.
     bool answering = false; ///< The worker has answered its agent lately.
     bool lapsed = false; ///< The worker has not answered for so long that nothing runs on it any more.
+    bool refusing = false; ///< Nothing listens at the worker's address.
     bool leaving = false; ///< The agent is stopping.
     WorkerAnnouncement worker; ///< What the worker says of itself; without an id until it has said something.
     std::vector<RunReport> runs; ///< What runs on it or may run.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -36,6 +36,7 @@
 {
     m_listed = false;
     m_silent = false;
+    m_refusing = false;
     m_lapsed = false;
     m_renewalOut = false;
     m_lookNow = false;
@@ -219,12 +220,18 @@
     return m_clockAtAnswer + (now - m_answeredAt);
 }
 
-void WorkerSupervisor::onLists(const RenewWorker &action, const std::optional<WorkerLists> &lists, TimePoint now)
+void WorkerSupervisor::onLists(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now)
 {
     if (!m_worker || action.life != m_worker->life) {
         return;
     }
     m_renewalOut = false;
+    if (answer.refused != m_refusing) {
+        m_refusing = answer.refused;
+        Log::info(m_refusing ? "worker_refuses" : "worker_listens", {{"worker", m_worker->life.worker}});
+        changed();
+    }
+    const std::optional<WorkerLists> &lists = answer.lists;
     if (!lists || lists->bornUnixMilliseconds != m_worker->life.bornUnixMilliseconds) {
         m_nextRenewal = now + m_times.repeat;
         return;
@@ -482,6 +489,7 @@
     status.listed = m_listed;
     status.answering = m_listed && !m_silent;
     status.lapsed = m_lapsed;
+    status.refusing = m_refusing;
     status.leaving = m_leaving;
     status.worker = m_worker.value_or(WorkerAnnouncement());
     status.runs = m_runs;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -72,6 +72,12 @@
     std::vector<RunEnd> ends; ///< Ends that were not acknowledged.
 };
 
+/// Answer to a renewal.
+struct RenewalAnswer {
+    std::optional<WorkerLists> lists; ///< The lists; none without a usable answer.
+    bool refused = false; ///< Nothing listens at the worker's address.
+};
+
 /// Supervises the worker on the agent's instance for the owner of the pool.
 ///
 /// It is the only one that gives the worker orders. It keeps nothing: after a restart it learns from the worker's lists what runs. It
@@ -102,9 +108,9 @@
 
     /// Takes in the answer to a `RenewWorker` action.
     /// @param action The action.
-    /// @param lists The lists, or nothing without an answer.
+    /// @param answer The answer.
     /// @param now Current time.
-    void onLists(const RenewWorker &action, const std::optional<WorkerLists> &lists, TimePoint now);
+    void onLists(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now);
 
     /// Takes in the answer to a `StartTask` action.
     /// @param action The action.
@@ -200,6 +206,7 @@
     TimePoint m_renewalSentAt{};
     TimePoint m_leaseSentAt{}; // when the lease was last renewed, answered or not
     bool m_silent = false;
+    bool m_refusing = false;
     bool m_lapsed = false;
     TimePoint m_nextRenewal{};
     Duration m_clockAtAnswer{};
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -212,8 +212,8 @@
 
     void carryOut(RenewWorker action)
     {
-        m_worker.renew(action, [this, action](const std::optional<WorkerLists> &lists) {
-            m_supervisor.onLists(action, lists, EventLoop::now());
+        m_worker.renew(action, [this, action](const RenewalAnswer &answer) {
+            m_supervisor.onLists(action, answer, EventLoop::now());
         });
     }
 
--- a/src/poolhost/PoolPlatform.h
+++ b/src/poolhost/PoolPlatform.h
@@ -105,9 +105,8 @@
 
 /// Client of a worker.
 template <typename T>
-concept WorkerClient
-    = requires(T worker, RenewWorker renewal, StartTask start, StopTask stop, std::function<void(std::optional<WorkerLists>)> onLists,
-               std::function<void(OrderOutcome, std::string)> onStarted, std::function<void(OrderOutcome)> onStopped)
+concept WorkerClient = requires(T worker, RenewWorker renewal, StartTask start, StopTask stop, std::function<void(RenewalAnswer)> onLists,
+                                std::function<void(OrderOutcome, std::string)> onStarted, std::function<void(OrderOutcome)> onStopped)
 {
     worker.renew(renewal, onLists);
     worker.start(start, onStarted);
--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -142,6 +142,7 @@
     builder.setListed(status.listed);
     builder.setAnswering(status.answering);
     builder.setLapsed(status.lapsed);
+    builder.setRefusing(status.refusing);
     builder.setLeaving(status.leaving);
     encodeWorker(status.worker, builder);
     auto runs = builder.initRuns(static_cast<unsigned>(status.runs.size()));
@@ -176,6 +177,7 @@
     status.listed = reader.getListed();
     status.answering = reader.getAnswering();
     status.lapsed = reader.getLapsed();
+    status.refusing = reader.getRefusing();
     status.leaving = reader.getLeaving();
     status.worker = decodeWorker(reader);
     for (const auto report : reader.getRuns()) {
--- a/src/rpc/banyanlock.capnp
+++ b/src/rpc/banyanlock.capnp
@@ -160,6 +160,7 @@
   runs @19 :List(RunReport);
   ends @20 :List(RunEnd);
   refusals @21 :List(RunRefusal);
+  refusing @22 :Bool;
 }
 
 interface SupervisorRpc {
--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -67,6 +67,11 @@
     for (const auto &[run, state] : before) {
         Run &running = m_running.at(run);
         const bool whole = running.task.members <= 1 || m_observer.presentMembers(run) >= running.task.members;
+        running.wasWhole = running.wasWhole || whole;
+        if (!whole && running.wasWhole) {
+            end(run, RunEnding::PartnerEnded, running.saved);
+            continue;
+        }
         const Duration passed = now - running.workedUntil;
         running.workedUntil = now;
         if (!whole) {
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -118,6 +118,7 @@
         TimePoint workedUntil{};
         Duration left{};
         Duration saved{};
+        bool wasWhole = false; // all members of its gang have been present
         ModelTask task;
     };
 
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -101,6 +101,27 @@
     checkCompleted(world, "job1");
 }
 
+BOOST_AUTO_TEST_CASE(aGangIsPlacedAgainSoonAfterOneOfItsWorkersCrashed)
+{
+    // Found by himal-recall, scale-2: a quote's gang waited 5.5 s for a worker that had crashed.
+    PoolWorld world({});
+    world.run(settle);
+    StepSpec step = makeStep(6, 4, 3000);
+    step.gang = true;
+    world.submit("job1", makeJob(step), "urgent");
+    world.run(fromMilliseconds(500));
+    BOOST_TEST(world.startsOf("job1") == 6U);
+    std::size_t host = 0;
+    while (world.worker(host).runningCount() == 0) {
+        ++host;
+    }
+    world.crashWorker(host);
+    world.run(fromMilliseconds(2500));
+    BOOST_TEST(world.startsOf("job1") == 12U);
+    world.run(fromMilliseconds(4000));
+    checkCompleted(world, "job1");
+}
+
 BOOST_AUTO_TEST_CASE(aNewLifeUnderAnOldIdStartsAnew)
 {
     PoolWorld world({});
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -130,6 +130,7 @@
     bool cut = false; // from the entries
     bool workerCut = false; // from its worker
     bool gone = false; // with its worker
+    bool crashed = false; // the worker's process has ended, and does not come back
 };
 
 PoolWorld::PoolWorld(WorldOptions options)
@@ -171,7 +172,7 @@
     });
     m_network.repeat(fromMilliseconds(1000), [this](TimePoint now) {
         for (const std::unique_ptr<Agent> &agent : m_agents) {
-            if (!agent->gone && !agent->workerCut) {
+            if (!agent->gone && !agent->workerCut && !agent->crashed) {
                 Agent *target = agent.get();
                 agent->loop->after(Duration::zero(), [target, announcement = agent->worker->announce(), now] {
                     target->supervisor->onAnnouncement(announcement, now);
@@ -364,12 +365,20 @@
         m_network.after(listLimit, [&agent, generation, action, this] {
             agent.loop->after(Duration::zero(), [&agent, generation, action, this] {
                 if (generation == agent.generation) {
-                    agent.supervisor->onLists(action, std::nullopt, m_now);
+                    agent.supervisor->onLists(action, RenewalAnswer(), m_now);
                 }
             });
         });
         return;
     }
+    if (agent.crashed) {
+        agent.loop->after(fromMilliseconds(1), [&agent, generation, action, this] {
+            if (generation == agent.generation) {
+                agent.supervisor->onLists(action, {std::nullopt, true}, m_now);
+            }
+        });
+        return;
+    }
     const std::optional<WorkerLists> lists = agent.worker->renew(action, m_now);
     if (lists && lists->ends.empty() && m_now < until) {
         m_network.after(fromMilliseconds(50), [this, index, generation, action, until] {
@@ -381,7 +390,7 @@
     }
     agent.loop->after(fromMilliseconds(1), [&agent, generation, action, lists, this] {
         if (generation == agent.generation) {
-            agent.supervisor->onLists(action, lists, m_now);
+            agent.supervisor->onLists(action, {lists, false}, m_now);
         }
     });
 }
@@ -618,6 +627,12 @@
     m_agents[worker]->worker->rebirth(m_now);
 }
 
+void PoolWorld::crashWorker(std::size_t worker)
+{
+    m_agents[worker]->crashed = true;
+    m_agents[worker]->worker->rebirth(m_now);
+}
+
 void PoolWorld::cutAgent(std::size_t worker, bool cut)
 {
     m_agents[worker]->cut = cut;
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -133,6 +133,7 @@
     void freezeAgent(std::size_t worker, bool frozen);
     void restartAgent(std::size_t worker);
     void removeAgent(std::size_t worker);
+    void crashWorker(std::size_t worker);
     void cutAgent(std::size_t worker, bool cut);
     void cutWorker(std::size_t worker, bool cut);
     void drainEntry(std::size_t entry);
