Name a batch of orders only in the call that carries it

Cause: a call without orders named the newest batch too; when it overtook the call with the orders, the agent took the batch for seen and dropped it. Change: calls without orders name no batch.

--- a/src/core/Latencies.cpp
+++ b/src/core/Latencies.cpp
@@ -18,6 +18,11 @@
 // From a store's answer within a failure domain to the longest wait of a caller.
 const std::vector<double> bucketEdges{0.0, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0};
 
+void addSample(std::string &text, const std::string &name, const std::string &value)
+{
+    text.append(name).append(" ").append(value).append("\n");
+}
+
 } // namespace
 
 /// The histograms and the sums of their spans.
@@ -57,17 +62,18 @@
     for (std::size_t index = 0; index < latencyNames.size(); ++index) {
         const std::string name = latencyNames[index];
         const Histogram &histogram = m_impl->histograms[index];
-        text += "# TYPE " + name + " histogram\n";
+        text.append("# TYPE ").append(name).append(" histogram\n");
         double total = 0.0;
         for (int bucket = 0; bucket < histogram.axis(0).size(); ++bucket) {
             total += histogram.at(bucket);
-            text += name + "_bucket{le=\"" + std::to_string(bucketEdges[static_cast<std::size_t>(bucket) + 1]) + "\"} "
-                + std::to_string(static_cast<std::uint64_t>(total)) + "\n";
+            addSample(text, name + "_bucket{le=\"" + std::to_string(bucketEdges[static_cast<std::size_t>(bucket) + 1]) + "\"}",
+                      std::to_string(static_cast<std::uint64_t>(total)));
         }
         total += histogram.at(histogram.axis(0).size());
         const std::string count = std::to_string(static_cast<std::uint64_t>(total));
-        text += name + "_bucket{le=\"+Inf\"} " + count + "\n" + name + "_sum " + std::to_string(m_impl->sums[index]) + "\n" + name
-            + "_count " + count + "\n";
+        addSample(text, name + "_bucket{le=\"+Inf\"}", count);
+        addSample(text, name + "_sum", std::to_string(m_impl->sums[index]));
+        addSample(text, name + "_count", count);
     }
     return text;
 }
--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -48,9 +48,8 @@
         request.wait = waits ? pollWait() : Duration();
         if (!worker.orders.empty()) {
             request.orders = std::exchange(worker.orders, {});
-            ++worker.batch;
+            request.batch = ++worker.batch; // calls without orders name no batch: they may overtake the call that carries it
         }
-        request.batch = worker.batch;
         // Acknowledged ends need not be told again.
         std::erase_if(worker.status.ends, [&](const RunEnd &end) {
             return end.number <= worker.recordedEnd;
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -104,7 +104,7 @@
     std::uint64_t epoch = 0; ///< Fencing token of the owner.
     bool renews = false; ///< Renews the leases of everything on the worker.
     TimePoint validUntil{}; ///< Latest moment to act on the call, on the agent's clock.
-    std::uint64_t batch = 0; ///< Number of the newest batch of orders.
+    std::uint64_t batch = 0; ///< Number of the batch of orders; zero without orders.
     std::vector<TaskOrder> orders; ///< The batch.
     WorkerLife acknowledgedLife; ///< Life whose ends are acknowledged.
     std::uint64_t acknowledgedEnd = 0; ///< Ends up to this number are recorded.
