--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -167,9 +167,11 @@
         }
         m_erasedJobs.push_back(id);
     }
-    for (const auto &[agent, worker] : m_workers) {
-        const bool used = std::ranges::any_of(m_units, [&](const auto &entry) {
-            return std::ranges::any_of(entry.second.members, [&](const ActiveMember &member) {
+    for (const auto &entry : m_workers) {
+        const PoolWorker &worker = entry.second;
+        const std::string &agent = worker.agent;
+        const bool used = std::ranges::any_of(m_units, [&](const auto &unit) {
+            return std::ranges::any_of(unit.second.members, [&](const ActiveMember &member) {
                 return member.place.agent == agent;
             });
         });
