--- /dev/null
+++ b/src/pool/PoolMembers.cpp
@@ -0,0 +1,307 @@
+// What workers report of the members of units.
+
+#include "core/Assert.h"
+#include "core/Log.h"
+#include "pool/PoolScheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+
+std::optional<PoolScheduler::UnitId> PoolScheduler::unitOf(const TaskName &task) const
+{
+    const GraphRecord *job = std::as_const(m_jobs).find(task.job);
+    if (job == nullptr || task.step >= job->spec.steps.size()) {
+        return std::nullopt;
+    }
+    const bool gang = job->spec.steps[task.step].gang;
+    return UnitId(task.job, {task.occurrence, task.step, gang ? 0 : task.index});
+}
+
+bool PoolScheduler::isExpectedOn(const std::string &agent, const RunName &run) const
+{
+    const std::optional<UnitId> id = unitOf(run.task);
+    const auto unit = id ? m_units.find(*id) : m_units.end();
+    return unit != m_units.end() && std::ranges::any_of(unit->second.members, [&](const ActiveMember &member) {
+               return member.run == run && member.place.agent == agent && !member.ending;
+           });
+}
+
+void PoolScheduler::onAnswer(const std::string &agent, std::uint64_t call, const WorkerStatus *status, TimePoint sentAt, TimePoint now)
+{
+    const auto found = m_workers.find(agent);
+    if (!isOwned() || found == m_workers.end()) {
+        return;
+    }
+    PoolWorker &worker = found->second;
+    if (worker.pollOut && worker.pollCall == call) {
+        worker.pollOut = false;
+        worker.nextPoll = status == nullptr ? now + (isSilent(worker, now) ? m_times.shortestPoll : m_times.retry) : now;
+    }
+    m_changed = true;
+    if (status == nullptr) {
+        return;
+    }
+    if (status->highestEpoch > m_epoch) {
+        Log::warning("owner_superseded",
+                     {{"agent", agent},
+                      {"epoch", static_cast<std::int64_t>(m_epoch)},
+                      {"known_epoch", static_cast<std::int64_t>(status->highestEpoch)}});
+        m_superseded = true;
+        return;
+    }
+    const bool outdated
+        = worker.known && status->agentIncarnation == worker.status.agentIncarnation && status->number < worker.status.number;
+    const bool fromEarlierProcess = worker.known && status->agentIncarnation != worker.status.agentIncarnation && sentAt < worker.askedAt;
+    if (status->highestEpoch < m_epoch || outdated || fromEarlierProcess) {
+        return;
+    }
+    if (!worker.known) {
+        // From now on the agent refuses earlier owners.
+        worker.known = true;
+        worker.lastRenewal = sentAt;
+    }
+    if (worker.status.worker.life != status->worker.life) {
+        worker.processedEnd = 0;
+        worker.recordedEnd = 0;
+        worker.failuresInRow = 0;
+        worker.quarantinedUntil = TimePoint();
+    }
+    if (status->agentIncarnation != worker.status.agentIncarnation) {
+        worker.batch = status->ordersSeen; // a new process counts anew
+    }
+    const bool news
+        = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number || isSilent(worker, now);
+    if (status->listed) {
+        worker.renewableAt = now;
+    } else if (worker.status.listed) {
+        worker.renewableAt = std::max(worker.renewableAt, worker.lastRenewal);
+    }
+    worker.status = *status;
+    worker.askedAt = sentAt;
+    worker.answeredAt = now;
+    if (news) {
+        m_planDue = true;
+        takeStatus(worker, now);
+    } else {
+        settleMissing(worker);
+    }
+}
+
+void PoolScheduler::settleMissing(const PoolWorker &worker)
+{
+    // A status without news still proves that an order which was under way has come to nothing.
+    for (auto &[id, unit] : m_units) {
+        for (ActiveMember &member : unit.members) {
+            if (!member.confirmed && !member.ending && unit.phase == UnitPhase::Started && member.place.agent == worker.agent) {
+                updateMember(member, worker);
+            }
+        }
+    }
+}
+
+void PoolScheduler::takeStatus(PoolWorker &worker, TimePoint now)
+{
+    for (auto &[id, unit] : m_units) {
+        for (ActiveMember &member : unit.members) {
+            if (member.place.agent == worker.agent && unit.phase == UnitPhase::Started && !member.ending) {
+                updateMember(member, worker);
+            }
+        }
+        if (unit.phase == UnitPhase::Started) {
+            checkGang(unit, now);
+        }
+    }
+    takeLateSuccesses(worker);
+    closeEnded(now);
+    noteProcessedEnds(worker);
+    if (m_dirty.empty() && !m_batchOut) {
+        worker.recordedEnd = worker.processedEnd; // the ends changed nothing that is to be written
+    }
+    stopStrangers(worker);
+}
+
+bool PoolScheduler::isOfActiveUnit(const RunName &run) const
+{
+    const std::optional<UnitId> id = unitOf(run.task);
+    const auto unit = id ? m_units.find(*id) : m_units.end();
+    return unit != m_units.end() && unit->second.run == run.run;
+}
+
+void PoolScheduler::noteProcessedEnds(PoolWorker &worker)
+{
+    // The end of a gang's member is known to the rows only when the whole gang has ended: until then a new owner must find it listed.
+    std::uint64_t processed = worker.processedEnd;
+    std::uint64_t firstOpen = UINT64_MAX;
+    for (const RunEnd &end : worker.status.ends) {
+        if (isOfActiveUnit(end.run)) {
+            firstOpen = std::min(firstOpen, end.number);
+        } else {
+            processed = std::max(processed, end.number);
+        }
+    }
+    worker.processedEnd = std::max(worker.processedEnd, std::min(processed, firstOpen - 1));
+}
+
+void PoolScheduler::takeLateSuccesses(const PoolWorker &worker)
+{
+    // A run that was given up as lapsed may have succeeded before: its work counts, and a later run is stopped.
+    for (const RunEnd &end : worker.status.ends) {
+        const TaskName &task = end.run.task;
+        GraphRecord *job = m_jobs.find(task.job);
+        if (end.ending != RunEnding::Succeeded || job == nullptr || hasEnded(job->progress.state) || isOfActiveUnit(end.run)
+            || task.step >= job->spec.steps.size() || job->spec.steps[task.step].lasting
+            || task.occurrence < job->progress.finishedOccurrences) {
+            continue;
+        }
+        const UnitKey key{task.occurrence, task.step, job->spec.steps[task.step].gang ? 0 : task.index};
+        const auto progress = job->progress.units.find(key);
+        if (progress == job->progress.units.end() || progress->second.succeeded || end.run.run > progress->second.run) {
+            continue;
+        }
+        Log::info("late_success_taken", {{"run", describe(end.run)}, {"newest_run", static_cast<std::int64_t>(progress->second.run)}});
+        const auto unit = m_units.find({task.job, key});
+        if (unit != m_units.end()) {
+            stop(unit->second, StopReason::AlreadyDone);
+        }
+        noteSuccess(*job, progress->second);
+    }
+}
+
+void PoolScheduler::updateMember(ActiveMember &member, const PoolWorker &worker)
+{
+    const WorkerStatus &status = worker.status;
+    if (status.worker.life.worker.empty()) {
+        return; // a new agent process that has not heard of its worker
+    }
+    if (status.worker.life != member.place.life) {
+        member.ending = RunEnding::WorkerGone;
+        return;
+    }
+    const auto end = std::ranges::find(status.ends, member.run, &RunEnd::run);
+    if (end != status.ends.end()) {
+        member.ending = end->ending;
+        if (!end->checkpoint.empty()) {
+            member.checkpoint = end->checkpoint;
+        }
+        return;
+    }
+    const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
+    if (report != status.runs.end()) {
+        member.confirmed = member.confirmed || !report->starting;
+        if (!report->checkpoint.empty()) {
+            member.checkpoint = report->checkpoint;
+        }
+        return;
+    }
+    if (status.lapsed) {
+        member.ending = RunEnding::LeaseLapsed;
+        return;
+    }
+    const bool orderTaken = member.batch != 0 && status.agentIncarnation == member.agentIncarnation && status.ordersSeen >= member.batch;
+    if (status.listed && (orderTaken || worker.askedAt > member.settledAt)) {
+        member.ending = member.confirmed ? RunEnding::LeaseLapsed : RunEnding::NeverStarted;
+        Log::info("run_not_listed", {{"run", describe(member.run)}, {"worker", member.place.life.worker}});
+    }
+}
+
+void PoolScheduler::expireSilent(TimePoint now)
+{
+    for (auto &[id, unit] : m_units) {
+        if (unit.phase != UnitPhase::Started) {
+            continue;
+        }
+        for (ActiveMember &member : unit.members) {
+            const PoolWorker *worker = findWorker(member.place);
+            if (member.ending.has_value() || worker == nullptr) {
+                continue;
+            }
+            const bool silent = !worker->known || isSilent(*worker, now);
+            if (!silent && worker->status.listed) {
+                continue;
+            }
+            // An agent that has no lists renews nothing; one that is silent may have heard what it did not answer.
+            const TimePoint renewed = silent ? std::max(worker->lastRenewal, worker->answeredAt) : worker->renewableAt;
+            const TimePoint lapsed = renewed + m_times.validity + m_times.lease + m_times.leaseSlack;
+            if (now > lapsed && now > member.settledAt + m_times.lease) {
+                member.ending = RunEnding::LeaseLapsed;
+                Log::warning("run_lapsed_unseen",
+                             {{"run", describe(member.run)},
+                              {"worker", member.place.life.worker},
+                              {"silent_ms", toMilliseconds(now - std::max(worker->lastRenewal, worker->answeredAt))}});
+            }
+        }
+        checkGang(unit, now);
+    }
+}
+
+void PoolScheduler::settleBroken(ActiveUnit &unit)
+{
+    // A member that ended because another one did proves that the gang's run is over. If no member that is known to have ended began it,
+    // one that is not heard of did; where nothing listens any more, its worker has gone.
+    bool broken = false;
+    for (const ActiveMember &member : unit.members) {
+        if (!member.ending) {
+            const PoolWorker *worker = findWorker(member.place);
+            if (worker == nullptr || !worker->known || !worker->status.refusing || worker->status.worker.life != member.place.life) {
+                return;
+            }
+        } else if (*member.ending == RunEnding::PartnerEnded) {
+            broken = true;
+        } else if (*member.ending != RunEnding::Stopped) {
+            return;
+        }
+    }
+    if (!broken) {
+        return;
+    }
+    for (ActiveMember &member : unit.members) {
+        if (!member.ending) {
+            member.ending = RunEnding::WorkerGone;
+            Log::info("run_gone_with_its_gang", {{"run", describe(member.run)}, {"worker", member.place.life.worker}});
+        }
+    }
+}
+
+void PoolScheduler::checkGang(ActiveUnit &unit, TimePoint now)
+{
+    if (unit.members.size() > 1) {
+        settleBroken(unit);
+    }
+    if (unit.members.size() < 2 || unit.stopping != StopReason::None) {
+        return;
+    }
+    const bool anyEnded = std::ranges::any_of(unit.members, [](const ActiveMember &member) {
+        return member.ending.has_value() && *member.ending != RunEnding::Succeeded;
+    });
+    const bool incomplete = std::ranges::any_of(unit.members, [](const ActiveMember &member) {
+        return !member.confirmed && !member.ending;
+    });
+    const bool late
+        = incomplete && unit.members.front().batch != 0 && now > unit.members.front().settledAt - m_times.settle + m_times.gangGrace;
+    if (anyEnded || late) {
+        stop(unit, StopReason::MemberLost);
+    }
+}
+
+void PoolScheduler::stopStrangers(PoolWorker &worker)
+{
+    for (const RunReport &report : worker.status.runs) {
+        const bool ordered = std::ranges::any_of(worker.orders, [&](const TaskOrder &order) {
+            return order.run == report.run;
+        });
+        if (ordered || isExpectedOn(worker.agent, report.run)) {
+            continue;
+        }
+        Log::warning("stranger_stopped", {{"run", describe(report.run)}, {"agent", worker.agent}});
+        TaskOrder order;
+        order.kind = TaskOrderKind::Stop;
+        order.run = report.run;
+        order.life = worker.status.worker.life;
+        worker.orders.push_back(std::move(order));
+    }
+}
+
+} // namespace banyanlock
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -151,19 +151,11 @@
     for (std::size_t index = 0; index < agents.size(); ++index) {
         const PoolWorker &worker = m_workers.at(agents[index]);
         for (const RunReport &report : worker.status.runs) {
-            const TaskName &task = report.run.task;
-            const GraphRecord *job = std::as_const(m_jobs).find(task.job);
-            if (job == nullptr || task.step >= job->spec.steps.size()) {
-                plan[index].usable = false;
-                continue;
-            }
-            const bool gang = job->spec.steps[task.step].gang;
-            const auto unit = m_units.find({task.job, {task.occurrence, task.step, gang ? 0 : task.index}});
-            const bool counted = unit != m_units.end() && std::ranges::any_of(unit->second.members, [&](const ActiveMember &member) {
-                                     return member.run == report.run && member.place.agent == agents[index] && !member.ending;
-                                 });
-            if (!counted) {
-                plan[index].free -= job->spec.steps[task.step].demand;
+            const std::optional<UnitId> unit = unitOf(report.run.task);
+            if (!unit) {
+                plan[index].usable = false; // it takes room that nothing is known of
+            } else if (!isExpectedOn(agents[index], report.run)) {
+                plan[index].free -= std::as_const(m_jobs).find(unit->first)->spec.steps[unit->second.step].demand;
             }
         }
     }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -198,26 +198,30 @@
     void addErasures(PoolBatch &batch, TimePoint now);
     void noteErased();
 
-    // PoolUnits.cpp: life cycle of units
+    // PoolMembers.cpp: what workers report
+    std::optional<UnitId> unitOf(const TaskName &task) const;
+    bool isExpectedOn(const std::string &agent, const RunName &run) const;
     void takeStatus(PoolWorker &worker, TimePoint now);
-    void settleMissing(const PoolWorker &worker, TimePoint now);
-    void updateMember(ActiveMember &member, const PoolWorker &worker, TimePoint now);
+    void settleMissing(const PoolWorker &worker);
+    void updateMember(ActiveMember &member, const PoolWorker &worker);
     void expireSilent(TimePoint now);
     void settleBroken(ActiveUnit &unit);
     void checkGang(ActiveUnit &unit, TimePoint now);
+    bool isOfActiveUnit(const RunName &run) const;
+    void noteProcessedEnds(PoolWorker &worker);
+    void takeLateSuccesses(const PoolWorker &worker);
+    void stopStrangers(PoolWorker &worker);
+
+    // PoolUnits.cpp: life cycle of units
     void stop(ActiveUnit &unit, StopReason reason);
     void sendStops(ActiveUnit &unit, TimePoint now);
     void closeEnded(TimePoint now);
     void close(const ActiveUnit &unit, TimePoint now);
     void noteEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
-    bool isOfActiveUnit(const RunName &run) const;
-    void noteProcessedEnds(PoolWorker &worker);
-    void takeLateSuccesses(const PoolWorker &worker);
     void noteSuccess(GraphRecord &job, UnitProgress &progress);
     void closeIfIdle(const GraphRecord &job);
     void finishJob(GraphRecord &job, GraphState state);
     void dropFinishedOccurrences(GraphRecord &job) const;
-    void stopStrangers(PoolWorker &worker, TimePoint now);
     void stopUnwanted(TimePoint now);
     void orderStarts(ActiveUnit &unit, TimePoint now);
     PoolWorker *findWorker(const TaskPlace &place);
--- a/src/runtime/HttpClient.cpp
+++ b/src/runtime/HttpClient.cpp
@@ -83,7 +83,7 @@
             CURL *handle = message->easy_handle;
             char *owner = nullptr;
             curl_easy_getinfo(handle, CURLINFO_PRIVATE, &owner);
-            // libcurl hands back the pointer that HttpExchange stored as its private data.
+            // libcurl returns the pointer that HttpExchange stored as its private data.
             std::unique_ptr<HttpExchange> exchange(reinterpret_cast<HttpExchange *>(owner));
             curl_multi_remove_handle(m_multi, handle);
             std::erase(m_active, exchange.get());
