Show callers only what is recorded

Ruled out: a wrong acknowledgement (the new line ends_recorded shows none at that time). Change: a job's shown state is that of its row; the first look at a table after an outage doesn't wait. Test: whatIsNotRecordedIsNotShown.

--- a/src/graph/GraphRecord.h
+++ b/src/graph/GraphRecord.h
@@ -81,6 +81,7 @@
     QueueTerms terms; ///< Terms of its queue.
     std::int64_t acceptedUnixMilliseconds = 0; ///< When it was accepted, by the entry's clock.
     GraphProgress progress; ///< How far it is.
+    GraphState recordedState = GraphState::Queued; ///< State in the progress row; the owner's memory may be ahead of it.
     bool cancelled = false; ///< A cancellation is recorded.
     std::uint64_t specVersion = 0; ///< Version of the row that holds what was asked for; zero until it was read.
     std::uint64_t progressVersion = 0; ///< Version of the progress row; zero until it was read.
@@ -91,10 +92,10 @@
         return specVersion != 0 && progressVersion != 0;
     }
 
-    /// @return State, cancellation included.
-    GraphState state() const
+    /// @return State for callers: only what is recorded, so that no failure can take it back.
+    GraphState shownState() const
     {
-        return cancelled && !hasEnded(progress.state) ? GraphState::Cancelled : progress.state;
+        return cancelled && !hasEnded(recordedState) ? GraphState::Cancelled : recordedState;
     }
 };
 
--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -33,6 +33,7 @@
         return false;
     }
     record.progress = *progress;
+    record.recordedState = progress->state;
     record.progressVersion = row.version;
     return true;
 }
@@ -103,7 +104,7 @@
 {
     return static_cast<std::uint32_t>(std::ranges::count_if(m_open, [&](const std::string &id) {
         const GraphRecord *record = find(id);
-        return record != nullptr && record->terms.queue == queue && record->state() == GraphState::Queued;
+        return record != nullptr && record->terms.queue == queue && record->shownState() == GraphState::Queued;
     }));
 }
 
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -207,7 +207,7 @@
     }
     std::set<std::string> domains;
     std::set<std::string> starting;
-    std::vector<std::string> written;
+    std::map<std::string, GraphState> written;
     for (const std::string &id : m_dirty) {
         if (written.size() >= mostJobsInBatch) {
             break;
@@ -216,7 +216,7 @@
         BANYANLOCK_ASSERT(job != nullptr);
         batch.writes.push_back(
             {std::string(PoolRows::table), PoolRows::keyOf(PoolRows::progressPrefix, id), encodeGraphProgress(job->progress)});
-        written.push_back(id);
+        written[id] = job->progress.state;
         for (auto unit = m_units.lower_bound({id, UnitKey()}); unit != m_units.end() && unit->first.first == id; ++unit) {
             if (unit->second.phase != UnitPhase::Planned) {
                 continue;
@@ -229,7 +229,7 @@
             }
         }
     }
-    for (const std::string &id : written) {
+    for (const auto &[id, state] : written) {
         m_dirty.erase(id);
     }
     m_batchJobs = written;
@@ -258,6 +258,11 @@
         return;
     }
     m_batchOut = false;
+    for (const auto &[id, state] : std::exchange(m_batchJobs, {})) {
+        if (GraphRecord *job = m_jobs.find(id)) {
+            job->recordedState = state;
+        }
+    }
     noteErased();
     for (const auto &[agent, end] : m_endsInBatch) {
         const auto found = m_workers.find(agent);
@@ -301,8 +306,9 @@
                   {{"job", id.first}, {"configuration_row", static_cast<std::int64_t>(m_operators.configurationRowVersion)}});
     }
     // What the batch carried beside starts is written with the next one.
-    m_dirty.insert(m_batchJobs.begin(), m_batchJobs.end());
-    m_batchJobs.clear();
+    for (const auto &[id, state] : std::exchange(m_batchJobs, {})) {
+        m_dirty.insert(id);
+    }
     planSoon();
 }
 
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -255,7 +255,7 @@
     std::map<UnitId, ActiveUnit> m_units;
     std::set<std::string> m_dirty; // jobs whose progress is to be written
     std::vector<UnitId> m_recording; // units whose start the batch under way records
-    std::vector<std::string> m_batchJobs; // jobs whose progress the batch under way writes
+    std::map<std::string, GraphState> m_batchJobs; // jobs whose progress the batch under way writes, with the state that it writes
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent
     std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
     std::map<std::string, TimePoint> m_endedSince; // jobs that have ended, by the time at which this owner first knew
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -131,6 +131,7 @@
     }
     if (m_worker && request.acknowledgedLife == m_worker->life && request.acknowledgedEnd > m_acknowledgedEnd) {
         m_acknowledgedEnd = request.acknowledgedEnd;
+        Log::info("ends_recorded", {{"worker", m_worker->life.worker}, {"up_to", static_cast<std::int64_t>(m_acknowledgedEnd)}});
         std::erase_if(m_ends, [this](const RunEnd &end) {
             return end.number <= m_acknowledgedEnd;
         });
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -316,13 +316,13 @@
 
     void onFound(const ExchangePointer &exchange, const GraphRecord &job)
     {
-        if (exchange->call.kind == CallKind::Cancel && !hasEnded(job.state())) {
+        if (exchange->call.kind == CallKind::Cancel && !hasEnded(job.shownState())) {
             cancel(exchange);
             return;
         }
         CallAnswer state;
         state.outcome = exchange->call.kind == CallKind::Cancel ? CallOutcome::Accepted : CallOutcome::Answered;
-        state.state = job.state();
+        state.state = job.shownState();
         answer(exchange, std::move(state));
     }
 
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -207,7 +207,9 @@
     {
         const TimePoint sentAt = m_loop.now();
         const std::uint64_t generation = followed.generation;
-        m_store.follow(followed.table, followed.version, waitForChange, [this, &followed, sentAt, generation](const FollowResult &result) {
+        // After an outage the first answer comes at once, so that calls are answered again.
+        const Duration wait = followed.available ? waitForChange : Duration::zero();
+        m_store.follow(followed.table, followed.version, wait, [this, &followed, sentAt, generation](const FollowResult &result) {
             if (generation != followed.generation) {
                 return;
             }
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -87,6 +87,30 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(whatIsNotRecordedIsNotShown)
+{
+    // Found by ghlc-sched-grown, fresh-8fee and fresh-852a: the owner showed a job as completed from its memory while the store was away,
+    // died, and its successor ran the job again.
+    PoolWorld world({});
+    world.run(settle);
+    world.submit("job1", makeJob(makeStep(2, 1, 2000)), "normal");
+    world.run(fromMilliseconds(1000));
+    const std::size_t owner = world.owner();
+    world.rows().down = true;
+    world.run(fromMilliseconds(2000));
+    world.ask("job1", owner);
+    world.run(fromMilliseconds(10));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Answered));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").state) == static_cast<int>(GraphState::Running));
+    world.rows().down = false;
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(world.owner() == owner);
+    world.ask("job1", owner);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Answered));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").state) == static_cast<int>(GraphState::Completed));
+}
+
 BOOST_AUTO_TEST_CASE(tasksOfACutOffWorkerStartElsewhereOnlyAfterTheirLease)
 {
     PoolWorld world({});
