Use the setting of the remote factor, and drop a field that nothing read

Cause: reading the change anew: the planner's patience for a task's own rack was a constant beside a setting that nothing used. Change: it waits for half of what a run elsewhere would lose; the same time as before at a factor of 3. After: all 24 tests of pool pass.

--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -91,7 +91,9 @@
             return true;
         }
     }
-    return static_cast<double>(group.waited.count()) > m_policy.remoteWaitShare * static_cast<double>(step.estimate.count());
+    // It waits for its rack for half of the time that a run elsewhere would lose.
+    const double loss = (m_policy.remoteFactor - 1.0) * static_cast<double>(step.estimate.count());
+    return static_cast<double>(group.waited.count()) > loss / 2;
 }
 
 bool PoolPlanner::findInRack(const PlanGroup &group, const Room &room, const std::string &rack, Placement &placement) const
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -17,7 +17,6 @@
     std::string rack; ///< Rack label.
     std::span<const std::string> labels; ///< All labels.
     std::string service; ///< Service that it works for.
-    double speed = 1.0; ///< Observed speed; 1 is what estimates assume.
     bool usable = false; ///< Whether tasks may be started on it.
 };
 
@@ -64,7 +63,6 @@
 /// Times and weights of the planner.
 struct PlannerPolicy {
     double remoteFactor = 3.0; ///< How many times longer tasks take away from their data or over several racks; setting.
-    double remoteWaitShare = 1.0; ///< Share of a task's estimate for which it waits for its own rack.
     double wasteRatio = 2.5; ///< Work that may be thrown away for a unit, in multiples of its own; half of where price and gain balance.
     Duration patience
         = fromMilliseconds(900); ///< Slack at which an urgent unit stops waiting for others to end; a stop and a start take 0.4 s.
