--- a/src/core/Incarnation.h
+++ b/src/core/Incarnation.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/Random.h"
+#include "core/Time.h"
 
-#include <chrono>
 #include <cstdint>
 
 namespace banyanlock
@@ -14,9 +14,7 @@
 inline std::uint64_t makeIncarnation()
 {
     constexpr unsigned randomBits = 22;
-    const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-    const auto milliseconds = static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count());
-    return (milliseconds << randomBits) | (Random::systemSeed() >> (64 - randomBits));
+    return (static_cast<std::uint64_t>(unixMillisecondsNow()) << randomBits) | (Random::systemSeed() >> (64 - randomBits));
 }
 
 } // namespace banyanlock
--- a/src/core/Time.h
+++ b/src/core/Time.h
@@ -39,6 +39,12 @@
 /// Point on the monotonic time line.
 using TimePoint = MonotonicClock::time_point;
 
+/// @return Time of day by this instance's clock, in milliseconds since 1970; it may jump.
+inline std::int64_t unixMillisecondsNow()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+
 /// Converts a span to whole milliseconds.
 /// @param span Span to convert.
 /// @return Milliseconds, rounded towards zero.
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -20,11 +20,17 @@
     return UnitId(task.job, {task.occurrence, task.step, gang ? 0 : task.index});
 }
 
-bool PoolScheduler::isExpectedOn(const std::string &agent, const RunName &run) const
+const ActiveUnit *PoolScheduler::findUnitOf(const TaskName &task) const
 {
-    const std::optional<UnitId> id = unitOf(run.task);
+    const std::optional<UnitId> id = unitOf(task);
     const auto unit = id ? m_units.find(*id) : m_units.end();
-    return unit != m_units.end() && std::ranges::any_of(unit->second.members, [&](const ActiveMember &member) {
+    return unit == m_units.end() ? nullptr : &unit->second;
+}
+
+bool PoolScheduler::isExpectedOn(const std::string &agent, const RunName &run) const
+{
+    const ActiveUnit *unit = findUnitOf(run.task);
+    return unit != nullptr && std::ranges::any_of(unit->members, [&](const ActiveMember &member) {
                return member.run == run && member.place.agent == agent && !member.ending;
            });
 }
@@ -125,9 +131,8 @@
 
 bool PoolScheduler::isOfActiveUnit(const RunName &run) const
 {
-    const std::optional<UnitId> id = unitOf(run.task);
-    const auto unit = id ? m_units.find(*id) : m_units.end();
-    return unit != m_units.end() && unit->second.run == run.run;
+    const ActiveUnit *unit = findUnitOf(run.task);
+    return unit != nullptr && unit->run == run.run;
 }
 
 void PoolScheduler::noteProcessedEnds(PoolWorker &worker)
@@ -150,19 +155,20 @@
     // A run that was given up as lapsed may have succeeded before: its work counts, and a later run is stopped.
     for (const RunEnd &end : worker.status.ends) {
         const TaskName &task = end.run.task;
+        const std::optional<UnitId> id = unitOf(task);
+        if (end.ending != RunEnding::Succeeded || !id || isOfActiveUnit(end.run)) {
+            continue;
+        }
         GraphRecord *job = m_jobs.find(task.job);
-        if (end.ending != RunEnding::Succeeded || job == nullptr || hasEnded(job->progress.state) || isOfActiveUnit(end.run)
-            || task.step >= job->spec.steps.size() || job->spec.steps[task.step].lasting
-            || task.occurrence < job->progress.finishedOccurrences) {
+        if (hasEnded(job->progress.state) || job->spec.steps[task.step].lasting || task.occurrence < job->progress.finishedOccurrences) {
             continue;
         }
-        const UnitKey key{task.occurrence, task.step, job->spec.steps[task.step].gang ? 0 : task.index};
-        const auto progress = job->progress.units.find(key);
+        const auto progress = job->progress.units.find(id->second);
         if (progress == job->progress.units.end() || progress->second.succeeded || end.run.run > progress->second.run) {
             continue;
         }
         Log::info("late_success_taken", {{"run", describe(end.run)}, {"newest_run", static_cast<std::int64_t>(progress->second.run)}});
-        const auto unit = m_units.find({task.job, key});
+        const auto unit = m_units.find(*id);
         if (unit != m_units.end()) {
             stop(unit->second, StopReason::AlreadyDone);
         }
@@ -215,7 +221,7 @@
         }
         for (ActiveMember &member : unit.members) {
             const PoolWorker *worker = findWorker(member.place);
-            if (member.ending.has_value() || worker == nullptr) {
+            if (member.ending || worker == nullptr) {
                 continue;
             }
             const bool silent = !worker->known || isSilent(*worker, now);
@@ -296,11 +302,7 @@
             continue;
         }
         Log::warning("stranger_stopped", {{"run", describe(report.run)}, {"agent", worker.agent}});
-        TaskOrder order;
-        order.kind = TaskOrderKind::Stop;
-        order.run = report.run;
-        order.life = worker.status.worker.life;
-        worker.orders.push_back(std::move(order));
+        orderStop(worker, report.run, worker.status.worker.life);
     }
 }
 
--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -171,11 +171,9 @@
 {
     const StepSpec &step = group.spec();
     std::vector<Resources> free;
-    std::vector<Resources> freeNow;
     free.reserve(room.workers.size());
     for (const PlanWorker &worker : room.workers) {
         free.push_back(worker.free + worker.stopping);
-        freeNow.push_back(worker.free);
     }
     std::vector<bool> stopped = room.stopped;
     for (std::uint32_t member = 0; member < membersOf(step); ++member) {
@@ -229,8 +227,6 @@
             }
         }
         free[bestWorker] -= step.demand;
-        placement.waits = placement.waits || !freeNow[bestWorker].fits(step.demand);
-        freeNow[bestWorker] -= step.demand;
         placement.workers.push_back(bestWorker);
         placement.cost += best;
     }
@@ -333,12 +329,10 @@
             // The room is kept for the unit until the stopped tasks have ended.
             for (const std::uint32_t worker : forced.workers) {
                 PlanWorker &host = room.workers[worker];
-                const Resources left = host.free + host.stopping;
+                host.stopping += host.free;
+                host.stopping -= group.spec().demand;
                 host.free -= group.spec().demand;
                 host.free = atLeastNothing(host.free);
-                Resources all = left;
-                all -= group.spec().demand;
-                host.stopping = all;
                 host.stopping -= host.free;
             }
         }
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -102,7 +102,6 @@
         std::vector<std::uint32_t> workers;
         std::vector<std::size_t> stops;
         double cost = 0.0;
-        bool waits = false; // room must become free first
     };
 
     static bool suits(const PlanGroup &group, const PlanWorker &worker);
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -12,8 +12,8 @@
 namespace
 {
 
-/// @return Longest chain of declared run times from a step on, the step included.
-Duration chainFrom(const GraphSpec &spec, std::uint32_t first)
+/// @return For each step the longest chain of declared run times from it on, the step included.
+std::vector<Duration> chainsOf(const GraphSpec &spec)
 {
     std::vector<Duration> chain(spec.steps.size(), Duration::zero());
     for (std::size_t back = spec.steps.size(); back-- > 0;) {
@@ -22,16 +22,7 @@
             chain[earlier] = std::max(chain[earlier], chain[back]);
         }
     }
-    return chain[first];
-}
-
-Duration longestChain(const GraphSpec &spec)
-{
-    Duration longest{};
-    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
-        longest = std::max(longest, chainFrom(spec, step));
-    }
-    return longest;
+    return chain;
 }
 
 std::string rackOf(const WorkerAnnouncement &worker)
@@ -80,8 +71,10 @@
         ? job.acceptedUnixMilliseconds
         : repetition.firstUnixMilliseconds + repetition.intervalMilliseconds * static_cast<std::int64_t>(occurrence);
     const Duration age = fromMilliseconds(unixNow(now) - begin);
-    const auto allowed = static_cast<std::int64_t>(job.terms.slackFactor * static_cast<double>(longestChain(job.spec).count()));
-    return Duration(allowed) + job.terms.targetLatency - age - chainFrom(job.spec, step);
+    const std::vector<Duration> chains = chainsOf(job.spec);
+    const Duration longest = *std::ranges::max_element(chains);
+    const auto allowed = static_cast<std::int64_t>(job.terms.slackFactor * static_cast<double>(longest.count()));
+    return Duration(allowed) + job.terms.targetLatency - age - chains[step];
 }
 
 std::set<std::string> PoolScheduler::guaranteedJobs() const
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -96,6 +96,12 @@
         return m_epoch != 0;
     }
 
+    /// @return Time for which an owner that can't reach the table service renews leases.
+    Duration detachedLimit() const
+    {
+        return m_times.detached;
+    }
+
     /// @return Whether an agent has heard of a newer owner.
     bool isSuperseded() const
     {
@@ -200,6 +206,7 @@
 
     // PoolMembers.cpp: what workers report
     std::optional<UnitId> unitOf(const TaskName &task) const;
+    const ActiveUnit *findUnitOf(const TaskName &task) const;
     bool isExpectedOn(const std::string &agent, const RunName &run) const;
     void takeStatus(PoolWorker &worker, TimePoint now);
     void settleMissing(const PoolWorker &worker);
@@ -215,10 +222,12 @@
     // PoolUnits.cpp: life cycle of units
     void stop(ActiveUnit &unit, StopReason reason);
     void sendStops(ActiveUnit &unit, TimePoint now);
+    static void orderStop(PoolWorker &worker, const RunName &run, const WorkerLife &life);
     void closeEnded(TimePoint now);
     void close(const ActiveUnit &unit, TimePoint now);
     void noteEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
     void noteSuccess(GraphRecord &job, UnitProgress &progress);
+    bool hasUnits(const std::string &job) const;
     void closeIfIdle(const GraphRecord &job);
     void finishJob(GraphRecord &job, GraphState state);
     void dropFinishedOccurrences(GraphRecord &job) const;
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -83,17 +83,22 @@
     unit.nextStop = now + m_times.stopRepeat;
     for (const ActiveMember &member : unit.members) {
         PoolWorker *worker = findWorker(member.place);
-        if (memberEnded(member) || worker == nullptr) {
+        if (member.ending || worker == nullptr) {
             continue;
         }
-        TaskOrder order;
-        order.kind = TaskOrderKind::Stop;
-        order.run = member.run;
-        order.life = member.place.life;
-        worker->orders.push_back(std::move(order));
+        orderStop(*worker, member.run, member.place.life);
     }
 }
 
+void PoolScheduler::orderStop(PoolWorker &worker, const RunName &run, const WorkerLife &life)
+{
+    TaskOrder order;
+    order.kind = TaskOrderKind::Stop;
+    order.run = run;
+    order.life = life;
+    worker.orders.push_back(std::move(order));
+}
+
 void PoolScheduler::stopUnwanted(TimePoint now)
 {
     for (auto &[id, unit] : m_units) {
@@ -184,9 +189,7 @@
     }
     for (const std::string &id : std::set<std::string>(m_jobs.open())) {
         GraphRecord *job = m_jobs.find(id);
-        const auto running = m_units.lower_bound({id, UnitKey()});
-        const bool idle = running == m_units.end() || running->first.first != id;
-        if (job != nullptr && job->cancelled && idle && !hasEnded(job->progress.state)) {
+        if (job != nullptr && job->cancelled && !hasUnits(id) && !hasEnded(job->progress.state)) {
             finishJob(*job, GraphState::Cancelled);
         }
     }
@@ -287,10 +290,15 @@
     }
 }
 
+bool PoolScheduler::hasUnits(const std::string &job) const
+{
+    const auto first = m_units.lower_bound({job, UnitKey()});
+    return first != m_units.end() && first->first.first == job;
+}
+
 void PoolScheduler::closeIfIdle(const GraphRecord &job)
 {
-    const auto running = m_units.lower_bound({job.id, UnitKey()});
-    if (running == m_units.end() || running->first.first != job.id) {
+    if (!hasUnits(job.id)) {
         m_jobs.close(job.id);
     }
 }
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -113,4 +113,13 @@
     Duration wait{}; ///< Time to wait for a newer status.
 };
 
+/// @param status An agent's status.
+/// @param request A call that waits for news.
+/// @return Whether the status tells the caller something new.
+inline bool isNews(const WorkerStatus &status, const SuperviseRequest &request)
+{
+    return request.knownIncarnation != status.agentIncarnation || request.knownStatus != status.number
+        || request.epoch != status.highestEpoch;
+}
+
 } // namespace banyanlock
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -51,9 +51,8 @@
     m_closed.clear();
 }
 
-bool WorkerSupervisor::onAnnouncement(const WorkerAnnouncement &announcement, TimePoint now)
+bool WorkerSupervisor::onAnnouncement(const WorkerAnnouncement &announcement)
 {
-    (void)now;
     if (m_worker) {
         const WorkerLife &known = m_worker->life;
         const bool sameLife = known == announcement.life;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -92,9 +92,8 @@
 
     /// Takes in what the worker says of itself.
     /// @param announcement What it says.
-    /// @param now Current time.
     /// @return Whether it was news; an announcement of an earlier life or with an earlier number is dropped.
-    bool onAnnouncement(const WorkerAnnouncement &announcement, TimePoint now);
+    bool onAnnouncement(const WorkerAnnouncement &announcement);
 
     /// Takes in that the worker has left.
     /// @param worker Id of the worker.
@@ -141,18 +140,6 @@
     /// @return What the owner gets to see.
     WorkerStatus status(TimePoint now, std::int64_t unixMilliseconds) const;
 
-    /// @return Number of the newest status.
-    std::uint64_t statusNumber() const
-    {
-        return m_number;
-    }
-
-    /// @return Highest epoch that was heard of.
-    std::uint64_t epoch() const
-    {
-        return m_epoch;
-    }
-
     /// @return What the worker said last, if it has said anything.
     const std::optional<WorkerAnnouncement> &worker() const
     {
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -2,7 +2,10 @@
 
 #include "core/Endpoint.h"
 #include "core/Incarnation.h"
-#include "poolhost/PoolEntryDaemon.h"
+#include "poolhost/DaemonParts.h"
+#include "poolhost/PoolPlatform.h"
+#include "poolhost/PoolSettings.h"
+#include "rpc/RpcNode.h"
 
 #include <list>
 #include <string>
@@ -30,10 +33,7 @@
                               serveWorker(request, respond);
                           })
         , m_metrics(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
-            ServerResponse response;
-            response.contentType = "text/plain; version=0.0.4";
-            response.body = std::make_shared<const std::string>(m_counters.toPrometheus());
-            respond(std::move(response));
+            respond(metricsResponse(m_counters.toPrometheus()));
         })
     {
     }
@@ -84,9 +84,7 @@
     {
         SupervisorTimes times;
         times.lease = fromMilliseconds(settings.leaseMilliseconds);
-        constexpr std::int64_t slowClockShare = 50; // clocks are up to 2 % slow
-        constexpr Duration timerSlack = fromMilliseconds(200);
-        times.leaseSlack = times.lease / slowClockShare + timerSlack;
+        times.leaseSlack = leaseSlackOf(times.lease);
         return times;
     }
 
@@ -112,12 +110,6 @@
         m_waiting.push_back(std::move(call));
     }
 
-    bool hasNewsFor(const SuperviseRequest &request) const
-    {
-        return request.knownIncarnation != m_incarnationSeen || request.knownStatus != m_supervisor.statusNumber()
-            || request.epoch != m_supervisor.epoch();
-    }
-
     void serveWorker(const ServerRequest &request, const HttpServer::Responder &respond)
     {
         constexpr int badRequest = 400;
@@ -134,7 +126,7 @@
             respond(std::move(response));
             return;
         }
-        m_supervisor.onAnnouncement(valueOf(announcement), EventLoop::now());
+        m_supervisor.onAnnouncement(valueOf(announcement));
         respond(std::move(response));
     }
 
@@ -180,9 +172,8 @@
             return;
         }
         const WorkerStatus status = m_supervisor.status(now, unixMillisecondsNow());
-        m_incarnationSeen = status.agentIncarnation;
         for (auto call = m_waiting.begin(); call != m_waiting.end();) {
-            if (now >= call->until || hasNewsFor(call->request) || m_stopping) {
+            if (now >= call->until || isNews(status, call->request) || m_stopping) {
                 call->reply(status);
                 call = m_waiting.erase(call);
             } else {
@@ -252,7 +243,6 @@
     typename Platform::Worker m_worker;
     WorkerSupervisor m_supervisor;
     std::list<WaitingCall> m_waiting;
-    std::uint64_t m_incarnationSeen = 0;
     TimerId m_timer;
     TimePoint m_armedFor{};
     TimePoint m_registerAfter{};
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -6,7 +6,6 @@
 #include "poolhost/PoolMirror.h"
 
 #include <algorithm>
-#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
@@ -185,8 +184,7 @@
         record.spec = std::move(valueOf(spec));
         record.terms
             = {queue.name, exchange->workspace, queue.service, queue.priority, queue.attemptLimit, queue.slackFactor, queue.targetLatency};
-        const auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
-        record.acceptedUnixMilliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(sinceEpoch).count();
+        record.acceptedUnixMilliseconds = unixMillisecondsNow();
         write(exchange);
     }
 
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -2,13 +2,12 @@
 
 #include "core/Endpoint.h"
 #include "core/Incarnation.h"
+#include "poolhost/DaemonParts.h"
 #include "poolhost/PoolApi.h"
 #include "poolhost/PoolOwner.h"
 #include "poolhost/PoolSettings.h"
-#include "poolhost/SettingsReload.h"
 #include "rpc/RpcNode.h"
 
-#include <chrono>
 #include <memory>
 #include <string>
 #include <utility>
@@ -16,12 +15,6 @@
 namespace banyanlock
 {
 
-/// @return Time of day, in milliseconds since 1970.
-inline std::int64_t unixMillisecondsNow()
-{
-    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
-}
-
 /// One entry of a pool: callers' interface, and the scheduler while this entry owns the pool.
 /// @tparam Platform Adapter of the platform.
 template <PoolPlatform Platform> class PoolEntryDaemon
@@ -48,10 +41,7 @@
                          serveBalancer(request, respond);
                      })
         , m_metrics(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
-            ServerResponse response;
-            response.contentType = "text/plain; version=0.0.4";
-            response.body = std::make_shared<const std::string>(m_counters.toPrometheus() + m_latencies.toPrometheus());
-            respond(std::move(response));
+            respond(metricsResponse(m_counters.toPrometheus() + m_latencies.toPrometheus()));
         })
     {
     }
@@ -105,9 +95,7 @@
     {
         PoolTimes times;
         times.lease = fromMilliseconds(settings.leaseMilliseconds);
-        constexpr std::int64_t slowClockShare = 50; // clocks are up to 2 % slow
-        constexpr Duration timerSlack = fromMilliseconds(200);
-        times.leaseSlack = times.lease / slowClockShare + timerSlack;
+        times.leaseSlack = leaseSlackOf(times.lease);
         return times;
     }
 
@@ -161,8 +149,6 @@
         m_owner.onRows(now);
         if (m_mirror.takeChanged()) {
             m_scheduler.onRows();
-        }
-        if (m_scheduler.isOwned()) {
             for (const std::string &agent : m_mirror.agents()) {
                 m_scheduler.addAgent(agent);
             }
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -133,7 +133,7 @@
     /// @return Whether the owner has reached the table service lately enough to renew leases.
     bool mayRenew(TimePoint now) const
     {
-        return now - m_lastWrite < PoolTimes().detached;
+        return now - m_lastWrite < m_scheduler.detachedLimit();
     }
 
     /// Gives the pool up and takes it no more.
@@ -159,9 +159,7 @@
     void release()
     {
         Log::info("ownership_given_up", {{"epoch", static_cast<std::int64_t>(m_writtenRow.epoch)}});
-        m_pendingTransaction.reset();
-        m_scheduler.disown();
-        m_mirror.setOwnsProgress(false);
+        forget();
     }
 
     void lose(const char *reason)
@@ -169,9 +167,14 @@
         Log::warning("ownership_lost", {{"reason", std::string(reason)}});
         m_counters.add(Counter::PoolOwnershipLost);
         m_takenEpoch = 0; // the row that is known here may still name this entry
+        forget();
+    }
+
+    void forget()
+    {
+        m_pendingTransaction.reset();
         m_scheduler.disown();
         m_mirror.setOwnsProgress(false);
-        m_pendingTransaction.reset();
     }
 
     void look(TimePoint now)
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -112,12 +112,12 @@
             agent->worker->advance(now);
         }
     });
-    m_network.repeat(fromMilliseconds(1000), [this](TimePoint now) {
+    m_network.repeat(fromMilliseconds(1000), [this](TimePoint) {
         for (const std::unique_ptr<Agent> &agent : m_agents) {
             if (!agent->gone && !agent->workerCut && !agent->crashed) {
                 Agent *target = agent.get();
-                agent->loop->after(Duration::zero(), [target, announcement = agent->worker->announce(), now] {
-                    target->supervisor->onAnnouncement(announcement, now);
+                agent->loop->after(Duration::zero(), [target, announcement = agent->worker->announce()] {
+                    target->supervisor->onAnnouncement(announcement);
                 });
             }
         }
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -18,8 +18,6 @@
     entry.owner.onRows(m_now);
     if (entry.mirror.takeChanged()) {
         entry.scheduler.onRows();
-    }
-    if (entry.scheduler.isOwned()) {
         for (const std::string &agent : entry.mirror.agents()) {
             entry.scheduler.addAgent(agent);
         }
@@ -91,8 +89,7 @@
     }
     const WorkerStatus status = agent.supervisor->status(m_now, worldEpochStart + toMilliseconds(m_now.time_since_epoch()));
     std::erase_if(agent.waiting, [&](const Agent::Waiting &call) {
-        const bool due = m_now >= call.until || call.request.knownIncarnation != status.agentIncarnation
-            || call.request.knownStatus != status.number || call.request.epoch != status.highestEpoch;
+        const bool due = m_now >= call.until || isNews(status, call.request);
         if (due) {
             call.reply(status);
         }
