Keep an unanswered start open until its limit while the worker drains

Cause: reading the landing anew. When a worker began to drain, the agent set the limit of its pending starts to the beginning of time, meant for starts that are tried again, which none is. An unanswered start counted as over at once, though the worker could still carry it out. Change: the limit stays. Test: anUnansweredStartIsOpenUntilItsLimitAlsoWhileTheWorkerDrains, 15 failed checks before, none after.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -73,7 +73,6 @@
             resetLife();
         }
     }
-    const bool drainingBegins = announcement.draining && (!m_worker || !m_worker->draining);
     WorkerAnnouncement previous = m_worker.value_or(WorkerAnnouncement());
     previous.sequence = announcement.sequence;
     previous.leavesAfter = announcement.leavesAfter;
@@ -86,11 +85,6 @@
                    {"born", announcement.life.bornUnixMilliseconds},
                    {"draining", std::string(announcement.draining ? "yes" : "no")}});
     }
-    if (drainingBegins) {
-        for (auto &[run, pending] : m_starts) {
-            pending.order.startBy = TimePoint(); // what has not reached the worker yet is not tried again
-        }
-    }
     return news;
 }
 
