Send an unanswered start to the worker again, and drop lists that newer ones overtook

Reading on: lists were judged by when the newest look was sent, not the one they answer, so lists that newer ones had overtaken could hide a run. Change: a start is sent up to four times, 120 ms apart; a refusal of a copy is settled by a stop, as an earlier copy may come late. Stops are repeated after 30 ms at first. Looks carry their time; lists older by the worker's clock are dropped; a look that was lost is repeated. Tests: four in WorkerSupervisorTest; the one on lists fails without the check.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -103,6 +103,7 @@
     {PoolRunsWorkerGone, "banyanlock_pool_runs_total", "event=\"worker_gone\"", ""},
     {PoolPreemptions, "banyanlock_pool_preemptions_total", "", "Units stopped to make room for others."},
     {PoolOrdersFenced, "banyanlock_pool_fenced_total", "", "Calls of an earlier owner that were refused."},
+    {PoolStartsRepeated, "banyanlock_pool_starts_repeated_total", "", "Starts that an agent sent again because the worker did not answer."},
     {PoolStartsRefused, "banyanlock_pool_starts_refused_total", "", "Starts that a worker or its agent refused."},
     {PoolJobsCompleted, "banyanlock_pool_jobs_total", "result=\"completed\"", "Jobs that ended, by result."},
     {PoolJobsFailed, "banyanlock_pool_jobs_total", "result=\"failed\"", ""},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -106,6 +106,7 @@
     PoolRunsWorkerGone,
     PoolPreemptions,
     PoolOrdersFenced,
+    PoolStartsRepeated,
     PoolStartsRefused,
     PoolJobsCompleted,
     PoolJobsFailed,
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -42,6 +42,8 @@
     m_lookNow = false;
     m_renewalEpoch = 0;
     m_nextRenewal = TimePoint();
+    m_clockAtAnswer = Duration();
+    m_listsAskedAt = TimePoint();
     m_runs.clear();
     m_ends.clear();
     m_acknowledgedEnd = 0;
@@ -186,13 +188,26 @@
     } else if (!m_listed) {
         refuse(order.run, "worker's lists are not known yet");
     } else {
-        m_starts[order.run] = {order, true, now + m_times.orderLimit};
         Log::info("task_start_ordered", {{"run", describe(order.run)}, {"epoch", static_cast<std::int64_t>(m_epoch)}});
-        m_actions.emplace_back(
-            StartTask{order.run, order.life, m_epoch, order.payload, order.checkpoint, workerClock(now) + (order.startBy - now)});
+        sendStart(m_starts[order.run] = {order}, now);
     }
 }
 
+void WorkerSupervisor::sendStart(PendingOrder &pending, TimePoint now)
+{
+    const TaskOrder &order = pending.order;
+    pending.outstanding = true;
+    ++pending.tries;
+    m_actions.emplace_back(
+        StartTask{order.run, order.life, m_epoch, order.payload, order.checkpoint, workerClock(now) + (order.startBy - now)});
+}
+
+bool WorkerSupervisor::mayRepeat(const PendingOrder &pending, const StartTask &action, TimePoint now) const
+{
+    return pending.tries < m_times.orderTries && action.epoch == m_epoch && now < pending.order.startBy && !m_worker->draining && !m_leaving
+        && !m_closed.contains(action.run);
+}
+
 void WorkerSupervisor::beginStop(const RunName &run, const WorkerLife &life, TimePoint now)
 {
     m_closed.insert(run);
@@ -206,7 +221,7 @@
     order.kind = TaskOrderKind::Stop;
     order.run = run;
     order.life = life;
-    m_stops[run] = {order, false, now};
+    m_stops[run] = {order, false, now, 0};
 }
 
 Duration WorkerSupervisor::workerClock(TimePoint now) const
@@ -227,17 +242,27 @@
     }
     const std::optional<WorkerLists> &lists = answer.lists;
     if (!lists || lists->bornUnixMilliseconds != m_worker->life.bornUnixMilliseconds) {
+        m_lookNow = m_lookNow || (m_listed && action.wait == Duration::zero()); // what it was to show is still to be seen
         m_nextRenewal = now + m_times.repeat;
         return;
     }
     m_renewalEpoch = std::max(m_renewalEpoch, action.epoch);
-    adoptLists(*lists, m_renewalSentAt, now);
+    if (!areOutdated(*lists, action.sentAt)) {
+        adoptLists(*lists, action.sentAt, now);
+    }
     m_nextRenewal = m_ends.empty() ? now : now + m_times.repeat;
 }
 
+bool WorkerSupervisor::areOutdated(const WorkerLists &lists, TimePoint sentAt) const
+{
+    // Answers on different connections may overtake each other.
+    return m_listed && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt < m_listsAskedAt));
+}
+
 void WorkerSupervisor::adoptLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now)
 {
     m_clockAtAnswer = lists.clock;
+    m_listsAskedAt = sentAt;
     m_answeredAt = now;
     std::erase_if(m_confirmed, [&](const auto &entry) {
         return entry.second < sentAt;
@@ -308,6 +333,7 @@
     if (found == m_starts.end()) {
         return;
     }
+    PendingOrder &pending = found->second;
     switch (outcome) {
     case OrderOutcome::Done:
         m_starts.erase(found);
@@ -320,20 +346,31 @@
         }
         changed();
         return;
-    case OrderOutcome::Refused:
     case OrderOutcome::OtherLife:
-        m_starts.erase(found);
-        m_stops.erase(action.run);
-        refuse(action.run, reason);
-        return;
+    case OrderOutcome::Refused:
+        if (outcome == OrderOutcome::OtherLife || pending.tries == 1) {
+            m_starts.erase(found);
+            m_stops.erase(action.run);
+            refuse(action.run, reason);
+            return;
+        }
+        break; // an earlier copy may have been carried out, or may be later
     case OrderOutcome::Unknown:
-        // It may have been carried out, or may be later: a stop closes the run for good.
-        found->second.outstanding = false;
-        Log::warning("task_start_unanswered", {{"run", describe(action.run)}});
-        beginStop(action.run, action.life, now);
-        changed();
-        return;
+        if (mayRepeat(pending, action, now)) {
+            // The worker takes a start that it has carried out already as done, so a copy does no harm.
+            m_counters.add(Counter::PoolStartsRepeated);
+            Log::info("task_start_repeated", {{"run", describe(action.run)}, {"tries", static_cast<std::int64_t>(pending.tries)}});
+            sendStart(pending, now);
+            return;
+        }
+        break;
     }
+    // It may have been carried out, or may be later: a stop closes the run for good.
+    pending.outstanding = false;
+    Log::warning("task_start_unsettled",
+                 {{"run", describe(action.run)}, {"tries", static_cast<std::int64_t>(pending.tries)}, {"reason", reason}});
+    beginStop(action.run, action.life, now);
+    changed();
 }
 
 void WorkerSupervisor::onStopped(const StopTask &action, OrderOutcome outcome, TimePoint now)
@@ -347,7 +384,7 @@
     }
     found->second.outstanding = false;
     if (outcome == OrderOutcome::Unknown || outcome == OrderOutcome::Refused) {
-        found->second.nextTry = now + m_times.repeat;
+        found->second.nextTry = now + (found->second.tries < m_times.orderTries ? m_times.quickRepeat : m_times.repeat);
         return;
     }
     // The worker starts no run any more that it was told to stop; what had started is listed as ended.
@@ -415,6 +452,7 @@
     const bool waits = m_listed && !m_lookNow && m_ends.empty() && m_renewalEpoch >= m_epoch;
     m_lookNow = false;
     renewal.wait = waits ? m_times.poll : Duration();
+    renewal.sentAt = now;
     m_renewalOut = true;
     m_renewalSentAt = now;
     m_nextRenewal = now + m_times.poll + m_times.answerSlack;
@@ -434,6 +472,7 @@
             continue;
         }
         pending.outstanding = true;
+        ++pending.tries;
         m_actions.emplace_back(StopTask{run, pending.order.life, m_epoch});
     }
     for (const RunName &run : over) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -22,8 +22,9 @@
     Duration repeat = fromMilliseconds(200); ///< Pause between two looks at a list whose ends are not acknowledged, and after failures.
     Duration silence = fromMilliseconds(2500); ///< Time without lists after which the lease is not renewed; bears one lost answer.
     Duration leaseSlack = fromMilliseconds(320); ///< The worker's clock may run 2 % slow, and timers fire late.
-    Duration orderLimit
-        = fromMilliseconds(300); ///< Time after which an unanswered start is closed by a stop; the worker is on the agent's instance.
+    Duration quickRepeat = fromMilliseconds(30); ///< Pause before the first repetitions of an unanswered stop; ten usual answers long.
+    std::uint32_t orderTries
+        = 4; ///< Times that a start is sent, and a stop is sent quickly; four lost in a row are rare even if a third is.
     Duration answerSlack = fromMilliseconds(700); ///< Time for lists to come beyond the wait.
 };
 
@@ -34,6 +35,7 @@
     std::optional<Duration> leaseEnd; ///< End of the lease on the worker's clock; none when nothing may be renewed.
     Duration wait{}; ///< Time that the worker may wait for an end.
     WorkerLife life; ///< Life that is meant.
+    TimePoint sentAt{}; ///< When it was sent; several may be under way.
 };
 
 /// Starts a task at the worker.
@@ -155,6 +157,7 @@
         TaskOrder order;
         bool outstanding = false; // a call to the worker is under way
         TimePoint nextTry{};
+        std::uint32_t tries = 0; // calls that were sent
     };
 
     void changed()
@@ -166,7 +169,10 @@
     void takeOrder(const TaskOrder &order, TimePoint now);
     void beginStop(const RunName &run, const WorkerLife &life, TimePoint now);
     void refuse(const RunName &run, const std::string &reason);
+    bool areOutdated(const WorkerLists &lists, TimePoint sentAt) const;
     void adoptLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now);
+    void sendStart(PendingOrder &pending, TimePoint now);
+    bool mayRepeat(const PendingOrder &pending, const StartTask &action, TimePoint now) const;
     void closePassedStarts(TimePoint listedAt);
     Duration workerClock(TimePoint now) const;
     bool isListed(const RunName &run) const;
@@ -197,6 +203,7 @@
     bool m_lapsed = false;
     TimePoint m_nextRenewal{};
     Duration m_clockAtAnswer{};
+    TimePoint m_listsAskedAt{}; // when the adopted lists were asked for
     TimePoint m_answeredAt{};
     std::vector<RunReport> m_runs;
     std::vector<RunEnd> m_ends;
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -8,7 +8,7 @@
 namespace
 {
 
-constexpr Duration orderLimit = fromMilliseconds(300);
+constexpr Duration orderLimit = fromMilliseconds(120);
 constexpr Duration listLimit = fromMilliseconds(700);
 
 } // namespace
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -1,7 +1,9 @@
 #include "pool/WorkerSupervisor.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <variant>
+#include <vector>
 
 namespace banyanlock
 {
@@ -53,7 +55,32 @@
         supervisor.onAnnouncement(announcement);
     }
 
-    /// Answers each look with lists that show nothing; stops get no answer.
+    /// @return The starts among the actions that wait.
+    std::vector<StartTask> takeStarts()
+    {
+        std::vector<StartTask> starts;
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const StartTask *start = std::get_if<StartTask>(&action)) {
+                starts.push_back(*start);
+            }
+        }
+        return starts;
+    }
+
+    /// @return The stops that are sent now.
+    std::vector<StopTask> takeStops()
+    {
+        std::vector<StopTask> stops;
+        supervisor.step(now);
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const StopTask *stop = std::get_if<StopTask>(&action)) {
+                stops.push_back(*stop);
+            }
+        }
+        return stops;
+    }
+
+    /// Answers each look with lists that show nothing; starts and stops get no answer.
     void answerLooks()
     {
         supervisor.step(now);
@@ -64,6 +91,8 @@
                 supervisor.onLists(*renewal, {lists, false}, now);
             } else if (const StopTask *stop = std::get_if<StopTask>(&action)) {
                 supervisor.onStopped(*stop, OrderOutcome::Unknown, now);
+            } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
+                supervisor.onStarted(*start, OrderOutcome::Unknown, "", now);
             }
         }
     }
@@ -93,6 +122,64 @@
     BOOST_TEST(!mayStillStart());
 }
 
+BOOST_AUTO_TEST_CASE(anUnansweredStartIsSentAgainAndKeepsItsGangWhole)
+{
+    now += fromMilliseconds(120);
+    const std::vector<StartTask> copies = takeStarts();
+    BOOST_REQUIRE_EQUAL(copies.size(), 1U);
+    BOOST_TEST((copies.front().run == firstRun));
+    supervisor.onStarted(copies.front(), OrderOutcome::Done, "", now);
+    BOOST_TEST(mayStillStart());
+    BOOST_TEST(takeStops().empty());
+}
+
+BOOST_AUTO_TEST_CASE(aRefusedCopyOfAStartIsClosedByAStop)
+{
+    const std::vector<StartTask> copies = takeStarts();
+    BOOST_REQUIRE_EQUAL(copies.size(), 1U);
+    supervisor.onStarted(copies.front(), OrderOutcome::Refused, "status 503", now);
+    BOOST_TEST(mayStillStart()); // the first copy may still begin
+    BOOST_TEST(takeStops().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(aStartIsNotSentAgainOnceTheWorkerDrains)
+{
+    const std::vector<StartTask> copies = takeStarts();
+    BOOST_REQUIRE_EQUAL(copies.size(), 1U);
+    announce(2, true);
+    supervisor.onStarted(copies.front(), OrderOutcome::Unknown, "", now);
+    BOOST_TEST(takeStarts().empty());
+    BOOST_TEST(takeStops().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(listsThatNewerOnesHaveOvertakenHideNoRun)
+{
+    // The fixture's waiting look was answered by the worker before the start, but the answer comes after newer lists.
+    supervisor.step(now);
+    std::optional<RenewWorker> earlier;
+    for (const SupervisorAction &action : supervisor.takeActions()) {
+        if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+            earlier = *renewal;
+        } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
+            supervisor.onStarted(*start, OrderOutcome::Done, "", now);
+        }
+    }
+    BOOST_REQUIRE(earlier.has_value());
+    WorkerLists newer;
+    newer.bornUnixMilliseconds = life.bornUnixMilliseconds;
+    newer.clock = fromMilliseconds(20);
+    newer.runs = {{firstRun, false, {}}};
+    RenewWorker later = *earlier;
+    later.sentAt = now + fromMilliseconds(10);
+    now += fromMilliseconds(12);
+    supervisor.onLists(later, {newer, false}, now);
+    WorkerLists older;
+    older.bornUnixMilliseconds = life.bornUnixMilliseconds;
+    older.clock = fromMilliseconds(5);
+    supervisor.onLists(*earlier, {older, false}, now + fromMilliseconds(1));
+    BOOST_TEST(mayStillStart());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
