Send callers to another entry when this one has lost the table service, and repeat unanswered submissions

A lost answer delayed a submission by 1.15 s. Without any answer of the store since the call came, the outcome is said to be unknown after 0.9 s; an entry that has heard nothing for 1.5 s refuses at once (nothing was sent), and tells the balancer that it isn't ready. Tests: anEntryThatLostTheStoreSendsCallersElsewhere, aLostAnswerOfTheStoreDelaysNoSubmission; both failed before.

--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -4,6 +4,7 @@
 #include "core/Log.h"
 #include "graph/GraphCodec.h"
 #include "poolhost/PoolMirror.h"
+#include "poolhost/RepeatedCommit.h"
 
 #include <algorithm>
 #include <functional>
@@ -65,7 +66,8 @@
     static constexpr Duration staleMargin = fromMilliseconds(300); // a late timer and the way to the caller
     static constexpr Duration defaultDeadline = fromMilliseconds(3000); // for callers that name none
     static constexpr Duration answerMargin = fromMilliseconds(200); // the way back to the caller
-    static constexpr Duration settlePause = fromMilliseconds(150); // between two tries of a transaction with an unknown outcome
+    static constexpr Duration lonelyLimit
+        = fromMilliseconds(900); // without any answer of the table service; a caller waits three seconds, so two more tries remain
     static constexpr Duration retryAfterOutage = fromMilliseconds(1000); // least that the header can say
     static constexpr int mostConfigurationChanges = 5; // during one submission
 
@@ -77,7 +79,6 @@
         std::string queue;
         std::string workspace;
         GraphRecord record;
-        bool maybeWritten = false; // an earlier try has an unknown outcome
         int configurationChanges = 0;
     };
     using ExchangePointer = std::shared_ptr<Exchange>;
@@ -103,7 +104,8 @@
         CallAnswer refusal;
         refusal.outcome = outcome;
         refusal.reason = reason;
-        refusal.retryAfter = retryAfterOutage;
+        // Another entry may know the outcome now; what surely did not run comes again when an outage may be over.
+        refusal.retryAfter = outcome == CallOutcome::Unsettled ? Duration::zero() : retryAfterOutage;
         answer(exchange, std::move(refusal));
     }
 
@@ -209,38 +211,33 @@
         const std::string specText = encodeGraphSpec(exchange->record);
         const std::string progressText = encodeGraphProgress(exchange->record.progress);
         transaction.writes = {{table, specKey, specText}, {table, progressKey, progressText}};
-        m_store.commit(transaction, [this, exchange, table, specKey, progressKey, specText, progressText](const CommitResult &result) {
-            if (result.state == CommitState::Committed) {
-                m_mirror.adopt(
-                    {{table, specKey, result.version, specText, false}, {table, progressKey, result.version, progressText, false}});
-                m_counters.add(Counter::PoolJobsAccepted);
-                accept(exchange);
-                return;
-            }
-            onNotWritten(exchange, result, specKey);
-        });
+        commit(exchange, std::move(transaction),
+               [this, exchange, table, specKey, progressKey, specText, progressText](const CommitResult &result, bool repeated) {
+                   if (result.state == CommitState::Committed) {
+                       m_mirror.adopt(
+                           {{table, specKey, result.version, specText, false}, {table, progressKey, result.version, progressText, false}});
+                       m_counters.add(Counter::PoolJobsAccepted);
+                       accept(exchange);
+                   } else {
+                       onConflict(exchange, result, specKey, repeated);
+                   }
+               });
     }
 
-    void onNotWritten(const ExchangePointer &exchange, const CommitResult &result, const std::string &specKey)
+    void onConflict(const ExchangePointer &exchange, const CommitResult &result, const std::string &specKey, bool repeated)
     {
-        if (result.state == CommitState::Conflict) {
-            m_mirror.adopt(result.rows);
-            const bool exists = std::ranges::any_of(result.rows, [&](const TableRow &row) {
-                return row.key == specKey && !row.erased;
-            });
-            if (exists) {
-                m_counters.add(exchange->maybeWritten ? Counter::PoolJobsAccepted : Counter::PoolJobsRepeated);
-                accept(exchange);
-            } else if (++exchange->configurationChanges < mostConfigurationChanges) {
-                begin(exchange); // the configuration has changed meanwhile: check against the new one
-            } else {
-                refuse(exchange, CallOutcome::NotReady, "configuration changes too fast", Counter::PoolRefusedStale);
-            }
-            return;
-        }
-        retry(exchange, result, [this, exchange] {
-            write(exchange);
+        m_mirror.adopt(result.rows);
+        const bool exists = std::ranges::any_of(result.rows, [&](const TableRow &row) {
+            return row.key == specKey && !row.erased;
         });
+        if (exists) {
+            m_counters.add(repeated ? Counter::PoolJobsAccepted : Counter::PoolJobsRepeated);
+            accept(exchange);
+        } else if (++exchange->configurationChanges < mostConfigurationChanges) {
+            begin(exchange); // the configuration has changed meanwhile: check against the new one
+        } else {
+            refuse(exchange, CallOutcome::NotReady, "configuration changes too fast", Counter::PoolRefusedStale);
+        }
     }
 
     void accept(const ExchangePointer &exchange)
@@ -250,23 +247,36 @@
         answer(exchange, std::move(accepted));
     }
 
-    /// Tries a transaction again whose outcome is unknown, as long as the caller waits; refuses one that surely did nothing.
-    void retry(const ExchangePointer &exchange, const CommitResult &result, std::function<void()> again)
+    /// Sends a transaction until its outcome is known. It refuses the call when surely nothing was done, and sends the caller to another
+    /// entry when this one has lost the table service; else `callback` gets the outcome.
+    void commit(const ExchangePointer &exchange, TableTransaction transaction, typename RepeatedCommit<Platform>::Callback callback)
     {
-        exchange->maybeWritten = exchange->maybeWritten || result.state == CommitState::Unknown;
-        if (!exchange->maybeWritten) {
-            refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
-            return;
-        }
-        const TimePoint now = m_loop.now();
-        const TimePoint giveUp = exchange->receivedAt + exchange->call.deadline.value_or(defaultDeadline) - answerMargin;
-        if (now + settlePause >= giveUp) {
-            refuse(exchange, CallOutcome::Unsettled, "table service did not tell the outcome in time", Counter::PoolUnsettled);
+        if (!m_mirror.hasContact(m_loop.now())) {
+            refuse(exchange, CallOutcome::StoreUnavailable, "table service does not answer this entry", Counter::PoolRefusedStore);
             return;
         }
-        m_loop.timers().subscribe(now + settlePause, [again = std::move(again)](TimePoint) {
-            again();
-        });
+        const auto givesUp = [this, exchange](TimePoint now) {
+            const Duration waited = now - exchange->receivedAt;
+            return waited >= exchange->call.deadline.value_or(defaultDeadline) - answerMargin
+                || (waited >= lonelyLimit && m_mirror.contactAt() < exchange->receivedAt);
+        };
+        RepeatedCommit<Platform>::send(
+            m_loop, m_store, std::move(transaction), givesUp,
+            [this, exchange, callback = std::move(callback)](const CommitResult &result, bool repeated) {
+                switch (result.state) {
+                case CommitState::Committed:
+                case CommitState::Conflict:
+                    m_mirror.noteContact();
+                    callback(result, repeated);
+                    return;
+                case CommitState::NotSent:
+                    refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
+                    return;
+                case CommitState::Unknown:
+                    refuse(exchange, CallOutcome::Unsettled, "table service did not tell the outcome in time", Counter::PoolUnsettled);
+                    return;
+                }
+            });
     }
 
     // State and cancellation
@@ -331,16 +341,10 @@
         TableTransaction transaction;
         transaction.changeId = "cancel/" + exchange->job;
         transaction.writes = {{table, key, "{}"}};
-        m_store.commit(transaction, [this, exchange, table, key](const CommitResult &result) {
-            if (result.state == CommitState::Committed) {
-                m_mirror.adopt({{table, key, result.version, "{}", false}});
-                m_counters.add(Counter::PoolCancelsAccepted);
-                accept(exchange);
-                return;
-            }
-            retry(exchange, result, [this, exchange] {
-                cancel(exchange);
-            });
+        commit(exchange, std::move(transaction), [this, exchange, table, key](const CommitResult &result, bool) {
+            m_mirror.adopt({{table, key, result.version, "{}", false}});
+            m_counters.add(Counter::PoolCancelsAccepted);
+            accept(exchange);
         });
     }
 
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -125,7 +125,7 @@
     void serveBalancer(const ServerRequest &request, const HttpServer::Responder &respond)
     {
         ServerResponse response;
-        const bool ready = !m_stopping && m_api.isFresh(EventLoop::now()) && isStoreNear();
+        const bool ready = !m_stopping && m_api.isFresh(EventLoop::now()) && m_mirror.hasContact(EventLoop::now());
         response.status = !Platform::isReadyQuestion(request) ? notFound : ready ? ok : unavailable;
         if (ready != m_ready) {
             m_ready = ready;
@@ -136,13 +136,6 @@
         respond(std::move(response));
     }
 
-    /// Callers are better served by an entry that reaches the table service.
-    bool isStoreNear() const
-    {
-        constexpr Duration nearEnough = fromMilliseconds(2500); // a follow waits a second, and one may be lost
-        return EventLoop::now() - m_mirror.poolProvenAt() < nearEnough;
-    }
-
     void flush()
     {
         const TimePoint now = EventLoop::now();
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -94,6 +94,25 @@
         return m_pool.provenAt;
     }
 
+    /// @param now Current time.
+    /// @return Whether the table service has answered this entry lately.
+    bool hasContact(TimePoint now) const
+    {
+        return now - m_contactAt < contactLimit;
+    }
+
+    /// @return When the table service last answered this entry.
+    TimePoint contactAt() const
+    {
+        return m_contactAt;
+    }
+
+    /// Takes in that the table service has answered.
+    void noteContact()
+    {
+        m_contactAt = m_loop.now();
+    }
+
     /// Sets whether this entry is the one that writes progress.
     /// @param owns Whether it is.
     void setOwnsProgress(bool owns)
@@ -135,6 +154,7 @@
 
 private:
     static constexpr Duration waitForChange = fromMilliseconds(1000); // a third of the time in which a new configuration must be in force
+    static constexpr Duration contactLimit = waitForChange + fromMilliseconds(500); // a slow store takes 250 ms beyond the wait
     static constexpr Duration retryPause = fromMilliseconds(200); // five tries a second while the table service is away
 
     struct Followed {
@@ -148,6 +168,9 @@
 
     void noteAvailability(Followed &followed, bool available)
     {
+        if (available) {
+            noteContact();
+        }
         if (followed.available == available) {
             return;
         }
@@ -317,6 +340,7 @@
     OwnerRow m_owner;
     std::uint64_t m_ownerVersion = 0;
     TimePoint m_ownerSeenAt{};
+    TimePoint m_contactAt{}; // newest answer of the table service
     Followed m_pool;
     Followed m_operator;
     bool m_ownsProgress = false;
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -145,6 +145,46 @@
     BOOST_TEST(toMilliseconds(world.answerFor("job1").retryAfter) > 0);
 }
 
+BOOST_AUTO_TEST_CASE(anEntryThatLostTheStoreSendsCallersElsewhere)
+{
+    // Found by ghlc-sched, scale-2 and fresh-4a0d: callers waited for their whole deadline at an entry that had lost the store.
+    PoolWorld world({});
+    world.run(settle);
+    world.silenceStoreFor(2, true);
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 2);
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Unsettled));
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 1);
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Accepted));
+    world.submit("job2", makeJob(makeStep(1, 1, 1000)), "normal", 2);
+    world.run(fromMilliseconds(10));
+    BOOST_TEST(static_cast<int>(world.answerFor("job2").outcome) == static_cast<int>(CallOutcome::StoreUnavailable));
+    BOOST_TEST(toMilliseconds(world.answerFor("job2").retryAfter) > 0);
+    world.run(fromMilliseconds(5000));
+    BOOST_TEST(world.startsOf("job1") == 1U);
+    BOOST_TEST(world.startsOf("job2") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(aLostAnswerOfTheStoreDelaysNoSubmission)
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            WorldOptions options;
+            options.seed = seed;
+            PoolWorld world(options);
+            world.run(settle);
+            world.rows().lostAnswers = 1.0;
+            world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", 1);
+            world.run(fromMilliseconds(200));
+            world.rows().lostAnswers = 0.0;
+            world.run(fromMilliseconds(300));
+            BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Accepted));
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aDueTimeIsKept)
 {
     PoolWorld world({});
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -356,6 +356,11 @@
     m_entries[entry]->store.setCut(cut);
 }
 
+void PoolWorld::silenceStoreFor(std::size_t entry, bool silent)
+{
+    m_entries[entry]->store.setSilent(silent);
+}
+
 void PoolWorld::cutEntryFromAgents(std::size_t entry, bool cut)
 {
     m_entries[entry]->cutFromAgents = cut;
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -53,6 +53,12 @@
         m_cut = cut;
     }
 
+    /// @param silent Whether this process gets no answer and nothing that it sends arrives.
+    void setSilent(bool silent)
+    {
+        m_silent = silent;
+    }
+
     /// Drops all answers that are under way: the process has ended.
     void end()
     {
@@ -63,7 +69,7 @@
     Duration delay();
     bool isAway() const
     {
-        return m_cut || m_rows->down;
+        return m_cut || m_silent || m_rows->down;
     }
     void answerFollow(const std::string &table, std::uint64_t after, TimePoint until, const std::function<void(FollowResult)> &callback);
     void later(Duration span, std::function<void()> event);
@@ -72,6 +78,7 @@
     VirtualRows *m_rows;
     Random *m_random;
     bool m_cut = false;
+    bool m_silent = false;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -128,6 +135,7 @@
     // Faults
     void killEntry(std::size_t entry);
     void cutEntryFromStore(std::size_t entry, bool cut);
+    void silenceStoreFor(std::size_t entry, bool silent);
     void cutEntryFromAgents(std::size_t entry, bool cut);
     void freezeEntry(std::size_t entry, bool frozen);
     void freezeAgent(std::size_t worker, bool frozen);
--- a/tests/pool/VirtualStore.cpp
+++ b/tests/pool/VirtualStore.cpp
@@ -62,6 +62,12 @@
 void VirtualStore::commit(const TableTransaction &transaction, std::function<void(CommitResult)> callback)
 {
     later(delay(), [this, transaction, callback = std::move(callback)] {
+        if (m_silent) {
+            later(answerLimit, [callback] {
+                callback(CommitResult());
+            });
+            return;
+        }
         if (isAway()) {
             later(m_random->chance(0.5) ? delay() : answerLimit, [callback] {
                 CommitResult result;
@@ -142,6 +148,12 @@
         }
         std::ranges::stable_sort(result.rows, {}, &TableRow::version);
     }
+    if (m_silent) {
+        later(answerLimit, [callback] {
+            callback(FollowResult());
+        });
+        return;
+    }
     constexpr Duration look = fromMilliseconds(10);
     if (result.state == FollowState::Followed && result.rows.empty() && m_loop->now() < until) {
         later(look, [this, table, after, until, callback] {
