Let copies, renewals and takeovers follow the pace of a slow table service

Copies each 0.3 to 0.4 s, renewals each 0.3 s and takeover tries each 0.25 s filled it; it turned submissions away (store_unavailable and unsettled from 31.6 to 33.9 s). Test: aSlowStoreIsNotOverloadedByCopies, a store that takes 180 ms for each in turn; 10 failures with the fixed times.

--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -261,7 +261,7 @@
                 || (waited >= lonelyLimit && m_mirror.contactAt() < exchange->receivedAt);
         };
         RepeatedCommit<Platform>::send(
-            m_loop, m_store, std::move(transaction), givesUp,
+            m_loop, m_store, m_mirror.pace(), std::move(transaction), givesUp,
             [this, exchange, callback = std::move(callback)](const CommitResult &result, bool repeated) {
                 switch (result.state) {
                 case CommitState::Committed:
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -5,6 +5,7 @@
 #include "pool/OwnerRow.h"
 #include "pool/PoolScheduler.h"
 #include "poolhost/PoolPlatform.h"
+#include "poolhost/StorePace.h"
 
 #include <algorithm>
 #include <functional>
@@ -101,6 +102,12 @@
         return now - m_contactAt < contactLimit;
     }
 
+    /// @return How long the table service takes for transactions.
+    StorePace &pace()
+    {
+        return m_pace;
+    }
+
     /// @return When the table service last answered this entry.
     TimePoint contactAt() const
     {
@@ -340,6 +347,7 @@
     OwnerRow m_owner;
     std::uint64_t m_ownerVersion = 0;
     TimePoint m_ownerSeenAt{};
+    StorePace m_pace;
     TimePoint m_contactAt{}; // newest answer of the table service
     Followed m_pool;
     Followed m_operator;
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -15,15 +15,13 @@
 
 /// Times of the pool's ownership.
 struct OwnershipTimes {
-    Duration renewal = fromMilliseconds(300); ///< Longest time between two transactions of the owner.
     Duration takeAfter
         = fromMilliseconds(1200); ///< Time without one after which another entry takes the pool; bears a slow store, which takes 0.5 s for
                                   ///< each. A try that comes too early, since changes were told late, is refused.
     Duration stagger = fromMilliseconds(60); ///< Spread of the entries' tries, so that mostly one of them writes; a try takes 25 ms.
     Duration retry = fromMilliseconds(200); ///< Pause after a transaction that did not go through.
+    Duration longestRetry = fromMilliseconds(800); ///< Longest pause after tries that did not go through; each doubles the one before.
     Duration check = fromMilliseconds(250); ///< Time between two looks while nothing can be taken.
-    Duration hedge
-        = fromMilliseconds(400); ///< Time without an answer after which a transaction is sent once more; a slow store takes 250 ms.
     int mostCopies = 3; ///< Copies of a transaction under way at once.
 };
 
@@ -99,7 +97,7 @@
         }
         if (m_pendingTransaction) {
             // A copy does no harm: only one of them can take effect, and the row tells which transaction did.
-            const bool due = m_copies == 0 ? now >= m_retryAt : m_copies < m_times.mostCopies && now - m_sentAt >= m_times.hedge;
+            const bool due = m_copies == 0 ? now >= m_retryAt : m_copies < m_times.mostCopies && now - m_sentAt >= m_mirror.pace().hedge();
             if (due) {
                 send(now);
             }
@@ -107,7 +105,7 @@
         }
         std::optional<PoolBatch> batch = m_scheduler.takeBatch(now);
         const bool release = m_drainRequested && !batch;
-        if (!batch && !release && now - m_lastWrite < m_times.renewal) {
+        if (!batch && !release && now - m_lastWrite < m_mirror.pace().renewal()) {
             return;
         }
         m_carriesBatch = batch.has_value();
@@ -115,6 +113,7 @@
         OwnerRow row = m_mirror.owner();
         ++row.beat;
         row.settled = m_scheduler.isSettled(now);
+        row.renewalMilliseconds = toMilliseconds(m_mirror.pace().renewal());
         if (release) {
             row.owner.clear();
         }
@@ -203,7 +202,7 @@
         // A process that was restarted needs not wait for its predecessor.
         const bool vacant = row.owner.empty() || row.owner == m_name;
         const Duration silence = now - m_mirror.ownerSeenAt();
-        const Duration due = (vacant ? Duration::zero() : m_times.takeAfter) + m_staggered;
+        const Duration due = (vacant ? Duration::zero() : silenceLimit(row)) + m_staggered;
         if (silence < due) {
             m_lookAt = std::min(m_lookAt, now + (due - silence));
             return;
@@ -211,9 +210,17 @@
         take(row, now, silence);
     }
 
+    Duration silenceLimit(const OwnerRow &row) const
+    {
+        // An owner that finds the table service slow renews less often, and says so.
+        constexpr int renewals = 2;
+        const Duration extra = fromMilliseconds(row.renewalMilliseconds) - StorePace::usualRenewal();
+        return m_times.takeAfter + renewals * std::max(extra, Duration::zero());
+    }
+
     void take(const OwnerRow &row, TimePoint now, Duration silence)
     {
-        const OwnerRow next{m_name, m_incarnation, row.epoch + 1, row.owner.empty() && row.settled, 0};
+        const OwnerRow next{m_name, m_incarnation, row.epoch + 1, row.owner.empty() && row.settled, row.renewalMilliseconds, 0};
         Log::info("ownership_try",
                   {{"epoch", static_cast<std::int64_t>(next.epoch)}, {"earlier_owner", row.owner}, {"silent_ms", toMilliseconds(silence)}});
         TableTransaction transaction;
@@ -223,9 +230,11 @@
         m_taking = true;
         m_takenEpoch = next.epoch;
         m_takenFromNobody = next.settled;
-        m_retryAt = now + m_times.retry;
         m_store.commit(transaction, [this](const CommitResult &result) {
             m_taking = false;
+            const bool answered = result.state == CommitState::Committed || result.state == CommitState::Conflict;
+            m_takeRetry = answered ? m_times.retry : std::min(2 * m_takeRetry, m_times.longestRetry);
+            m_retryAt = m_loop.now() + m_takeRetry;
             // Whatever the answer, the followed row decides.
             m_mirror.adopt(result.rows);
         });
@@ -237,6 +246,9 @@
         m_sentAt = now;
         m_store.commit(*m_pendingTransaction, [this, sentAt = now, number = m_transaction](const CommitResult &result) {
             m_latencies.record(Latency::OwnerTransaction, m_loop.now() - sentAt);
+            if (result.state == CommitState::Committed || result.state == CommitState::Conflict) {
+                m_mirror.pace().note(m_loop.now() - sentAt);
+            }
             if (number == m_transaction && m_pendingTransaction && m_scheduler.isOwned()) {
                 --m_copies;
                 onResult(result, sentAt);
@@ -322,6 +334,7 @@
     bool m_takenFromNobody = false; // the earlier owner had given the pool up
     TimePoint m_lastWrite{};
     TimePoint m_retryAt{};
+    Duration m_takeRetry = m_times.retry; // pause after the next take that does not go through
     std::uint64_t m_vacantVersion = 0; // newest row without an owner that was looked at
     TimerId m_lookTimer{};
     TimePoint m_lookAt{}; // when the timer fires
--- a/src/poolhost/RepeatedCommit.h
+++ b/src/poolhost/RepeatedCommit.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "poolhost/PoolPlatform.h"
+#include "poolhost/StorePace.h"
 
 #include <functional>
 #include <memory>
@@ -23,26 +24,28 @@
     /// Sends a transaction.
     /// @param loop Event loop.
     /// @param store Table service.
+    /// @param pace How long the table service takes; told of each answer.
     /// @param transaction What to send.
     /// @param givesUp Whether to give up at a time; asked before each further copy.
     /// @param callback Called once: `NotSent` when surely nothing was done, `Unknown` when it was given up.
-    static void send(typename Platform::Loop &loop, typename Platform::Store &store, TableTransaction transaction,
+    static void send(typename Platform::Loop &loop, typename Platform::Store &store, StorePace &pace, TableTransaction transaction,
                      std::function<bool(TimePoint)> givesUp, Callback callback)
     {
         std::shared_ptr<RepeatedCommit> commit(
-            new RepeatedCommit(loop, store, std::move(transaction), std::move(givesUp), std::move(callback)));
+            new RepeatedCommit(loop, store, pace, std::move(transaction), std::move(givesUp), std::move(callback)));
         commit->sendCopy();
         commit->arm();
     }
 
 private:
-    static constexpr Duration hedge = fromMilliseconds(300); // a slow store answers within 250 ms
+    static constexpr Duration checkInterval = fromMilliseconds(100); // a third of the shortest time between two copies
     static constexpr int mostCopies = 3; // under way at once; three lost in a row are rare even if a third is
 
-    RepeatedCommit(typename Platform::Loop &loop, typename Platform::Store &store, TableTransaction transaction,
+    RepeatedCommit(typename Platform::Loop &loop, typename Platform::Store &store, StorePace &pace, TableTransaction transaction,
                    std::function<bool(TimePoint)> givesUp, Callback callback)
         : m_loop(loop)
         , m_store(store)
+        , m_pace(pace)
         , m_transaction(std::move(transaction))
         , m_givesUp(std::move(givesUp))
         , m_callback(std::move(callback))
@@ -53,14 +56,18 @@
     {
         ++m_outstanding;
         ++m_copies;
-        m_store.commit(m_transaction, [self = this->shared_from_this()](const CommitResult &result) {
+        m_sentAt = m_loop.now();
+        m_store.commit(m_transaction, [self = this->shared_from_this(), sentAt = m_loop.now()](const CommitResult &result) {
+            if (result.state == CommitState::Committed || result.state == CommitState::Conflict) {
+                self->m_pace.note(self->m_loop.now() - sentAt);
+            }
             self->onResult(result);
         });
     }
 
     void arm()
     {
-        m_loop.timers().subscribe(m_loop.now() + hedge, [self = this->shared_from_this()](TimePoint now) {
+        m_loop.timers().subscribe(m_loop.now() + checkInterval, [self = this->shared_from_this()](TimePoint now) {
             self->onTimer(now);
         });
     }
@@ -74,7 +81,7 @@
             finish(CommitResult());
             return;
         }
-        if (m_outstanding < mostCopies) {
+        if (m_outstanding == 0 || (m_outstanding < mostCopies && now - m_sentAt >= m_pace.hedge())) {
             sendCopy();
         }
         arm();
@@ -108,11 +115,13 @@
 
     typename Platform::Loop &m_loop;
     typename Platform::Store &m_store;
+    StorePace &m_pace;
     TableTransaction m_transaction;
     std::function<bool(TimePoint)> m_givesUp;
     Callback m_callback;
     int m_outstanding = 0;
     int m_copies = 0;
+    TimePoint m_sentAt{}; // newest copy
     bool m_maybeDone = false; // a copy has ended without an outcome
     bool m_done = false;
 };
--- /dev/null
+++ b/src/poolhost/StorePace.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include "core/Time.h"
+
+namespace banyanlock
+{
+
+/// How long the table service takes for a transaction now, as this process sees it, and the times that follow from it.
+///
+/// Load that it answers: a service that has turned slow works transactions off one after another. Copies and renewals at the usual pace
+/// would then be most of its load, and it would turn transactions away.
+class StorePace
+{
+public:
+    /// Takes in that a transaction was answered.
+    /// @param span Time that it took.
+    void note(Duration span);
+
+    /// @return Time without an answer after which a transaction is sent once more.
+    Duration hedge() const;
+
+    /// @return Time between two renewals of the owner's row.
+    Duration renewal() const;
+
+    /// @return Usual time between two renewals.
+    static constexpr Duration usualRenewal()
+    {
+        return shortestRenewal;
+    }
+
+private:
+    static constexpr Duration shortestHedge = fromMilliseconds(300); // an answer usually takes 10 to 50 ms
+    static constexpr Duration shortestRenewal = fromMilliseconds(300); // a quarter of the silence after which another entry takes over
+    static constexpr Duration longestRenewal = fromMilliseconds(1200); // a fifth of the leases, which must live through a takeover
+    static constexpr double forgetting = 0.3; // weight of a quick answer after slow ones; slow ones count at once
+
+    Duration m_estimate{};
+};
+
+} // namespace banyanlock
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -185,6 +185,37 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(aSlowStoreIsNotOverloadedByCopies)
+{
+    // Found by himal-recall, trouble-2: copies, renewals and takeovers filled a store that took 180 ms for a transaction, and callers were
+    // turned away. The load is five transactions a second at most, of which 1.5 are submissions.
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            WorldOptions options;
+            options.seed = seed;
+            PoolWorld world(options);
+            world.run(settle);
+            const std::size_t owner = world.owner();
+            world.rows().transactionTime = fromMilliseconds(180);
+            constexpr std::size_t submissions = 9;
+            for (std::size_t job = 0; job < submissions; ++job) {
+                world.submit("job" + std::to_string(job), makeJob(makeStep(2, 1, 60000)), "normal", job % 3);
+                world.run(fromMilliseconds(667));
+            }
+            world.run(fromMilliseconds(2000));
+            for (std::size_t job = 0; job < submissions; ++job) {
+                BOOST_TEST_CONTEXT("job " << job)
+                {
+                    BOOST_TEST(static_cast<int>(world.answerFor("job" + std::to_string(job)).outcome)
+                               == static_cast<int>(CallOutcome::Accepted));
+                }
+            }
+            BOOST_TEST(world.owner() == owner);
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aDueTimeIsKept)
 {
     PoolWorld world({});
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -25,6 +25,8 @@
     bool down = false; ///< Nobody gets an answer.
     double lostAnswers = 0.0; ///< Share of transactions that take effect without an answer.
     double lateWrites = 0.0; ///< Share of transactions that take effect seconds later, without an answer.
+    Duration transactionTime{}; ///< Time that each transaction takes, one after another; one that would wait over a second is turned away.
+    TimePoint busyUntil{}; ///< When the transactions that wait are done.
     std::uint64_t historyFrom = 0; ///< Changes up to this version are forgotten.
 
     /// Commits a transaction.
@@ -72,6 +74,7 @@
         return m_cut || m_silent || m_rows->down;
     }
     void answerFollow(const std::string &table, std::uint64_t after, TimePoint until, const std::function<void(FollowResult)> &callback);
+    void commitInTurn(const TableTransaction &transaction, const std::function<void(CommitResult)> &callback);
     void later(Duration span, std::function<void()> event);
 
     VirtualLoop *m_loop;
--- a/tests/pool/VirtualStore.cpp
+++ b/tests/pool/VirtualStore.cpp
@@ -76,6 +76,10 @@
             });
             return;
         }
+        if (m_rows->transactionTime > Duration::zero()) {
+            commitInTurn(transaction, callback);
+            return;
+        }
         const bool late = m_random->chance(m_rows->lateWrites);
         if (late) {
             later(fromMilliseconds(1000 + m_random->below(4000)), [this, transaction] {
@@ -95,6 +99,28 @@
     });
 }
 
+void VirtualStore::commitInTurn(const TableTransaction &transaction, const std::function<void(CommitResult)> &callback)
+{
+    constexpr Duration longestQueue = fromMilliseconds(1000);
+    const TimePoint now = m_loop->now();
+    m_rows->busyUntil = std::max(m_rows->busyUntil, now);
+    if (m_rows->busyUntil - now > longestQueue) {
+        later(delay(), [callback] {
+            CommitResult refused;
+            refused.state = CommitState::NotSent;
+            callback(refused);
+        });
+        return;
+    }
+    m_rows->busyUntil += m_rows->transactionTime;
+    later(m_rows->busyUntil - now, [this, transaction, callback] {
+        const CommitResult result = m_rows->commit(transaction);
+        later(delay(), [callback, result] {
+            callback(result);
+        });
+    });
+}
+
 void VirtualStore::read(const std::string &table, const std::string &key, std::function<void(RowResult)> callback)
 {
     later(delay(), [this, table, key, callback = std::move(callback)] {
