Prefer workers that have not failed, refused or been slow lately

Change: for 6 s after a failure, an order that came to nothing, or a task that took twice its declared time, others are preferred: such a worker is used when nothing else fits, and up to 400 core-seconds are thrown away to spare an urgent unit from it. Tests: PoolPlannerTest, five cases, the first three of which need the change.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -77,6 +77,8 @@
     {JobsFailed, "banyanlock_jobs_total", "state=\"failed\"", ""},
     {JobsCancelled, "banyanlock_jobs_total", "state=\"cancelled\"", ""},
     {JobsErased, "banyanlock_jobs_erased_total", "", "Rows of jobs erased after their time of keeping."},
+    {WorkersSuspected, "banyanlock_pool_workers_suspected_total", "",
+     "Times that a worker failed, refused or was slow, and others were preferred."},
     {WorkersQuarantined, "banyanlock_workers_total", "event=\"quarantined\"", "Events of workers."},
     {WorkerMessages, "banyanlock_worker_messages_total", "result=\"sent\"", "Messages to workers, by result."},
     {WorkerFailures, "banyanlock_worker_messages_total", "result=\"failed\"", ""},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -80,6 +80,7 @@
     JobsFailed,
     JobsCancelled,
     JobsErased,
+    WorkersSuspected,
     WorkersQuarantined,
     WorkerMessages,
     WorkerFailures,
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -73,6 +73,7 @@
         worker.processedEnd = 0;
         worker.recordedEnd = 0;
         worker.failuresInRow = 0;
+        worker.suspectedUntil = TimePoint();
         worker.quarantinedUntil = TimePoint();
     }
     if (status->agentIncarnation != worker.status.agentIncarnation) {
--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -113,7 +113,8 @@
                 || exceedsSpread(group, placement.workers, worker)) {
                 continue;
             }
-            const double score = leftover(free[worker], step.demand);
+            constexpr double suspectPenalty = 1e6; // more than any leftover
+            const double score = leftover(free[worker], step.demand) + (candidate.suspect ? suspectPenalty : 0.0);
             if (score < best) {
                 best = score;
                 bestWorker = worker;
@@ -209,7 +210,7 @@
             }
             // A tight fit decides between places that cost the same.
             constexpr double tieWeight = 1e-6;
-            const double score = cost + tieWeight * leftover(left, step.demand);
+            const double score = cost + (candidate.suspect ? m_policy.suspectLoss : 0.0) + tieWeight * leftover(left, step.demand);
             if (score < best) {
                 best = score;
                 bestWorker = worker;
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -18,6 +18,7 @@
     std::span<const std::string> labels; ///< All labels.
     std::string service; ///< Service that it works for.
     bool usable = false; ///< Whether tasks may be started on it.
+    bool suspect = false; ///< It has failed, refused or been slow lately: others go first.
 };
 
 /// Units of one step that wait and are alike.
@@ -64,6 +65,7 @@
 struct PlannerPolicy {
     double remoteFactor = 3.0; ///< How many times longer tasks take away from their data or over several racks; setting.
     double wasteRatio = 2.5; ///< Work that may be thrown away for a unit, in multiples of its own; half of where price and gain balance.
+    double suspectLoss = 400.0; ///< Core-seconds that may be thrown away to avoid a suspect worker; as many as a usual unit's own work.
     Duration patience
         = fromMilliseconds(900); ///< Slack at which an urgent unit stops waiting for others to end; a stop and a start take 0.4 s.
     Duration longestPatience = fromMilliseconds(1200); ///< Longest such wait; a guarantee is due in 2.7 s.
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -25,12 +25,6 @@
     return chain;
 }
 
-std::string rackOf(const WorkerAnnouncement &worker)
-{
-    // The labels are the worker's kind and its rack, in this order.
-    return worker.labels.empty() ? std::string() : worker.labels.back();
-}
-
 } // namespace
 
 std::int64_t PoolScheduler::unixNow(TimePoint now) const
@@ -123,6 +117,7 @@
         view.labels = worker.status.worker.labels;
         view.service = worker.status.worker.service;
         view.usable = isUsable(worker, now);
+        view.suspect = now < worker.suspectedUntil;
         plan.push_back(std::move(view));
     }
     const auto indexOf = [&](const std::string &agent) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -40,6 +40,9 @@
     Duration retention
         = std::chrono::minutes(10); ///< Time for which ended jobs, and agents without an answer, are kept; callers ask for two minutes.
     Duration planRepeat = fromMilliseconds(500); ///< Longest time between two plans: due times and patience are noticed this late.
+    Duration suspicion = fromMilliseconds(6000); ///< Time for which others are preferred to a worker that failed, refused or was slow; as
+                                                 ///< long as most troubles of workers last.
+    double slowness = 2.0; ///< Multiple of the declared run time from which a task was slow; declarations are off by up to a half.
     Duration quarantine = fromMilliseconds(5000); ///< Time for which a worker that fails what it is given gets nothing.
 };
 
@@ -225,6 +228,8 @@
     static void orderStop(PoolWorker &worker, const RunName &run, const WorkerLife &life);
     void closeEnded(TimePoint now);
     void close(const ActiveUnit &unit, TimePoint now);
+    void suspect(PoolWorker &worker, const char *reason, TimePoint now);
+    bool wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const;
     void noteEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
     void noteSuccess(GraphRecord &job, UnitProgress &progress);
     bool hasUnits(const std::string &job) const;
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -195,6 +195,25 @@
     }
 }
 
+void PoolScheduler::suspect(PoolWorker &worker, const char *reason, TimePoint now)
+{
+    if (now >= worker.suspectedUntil) {
+        m_counters.add(Counter::WorkersSuspected);
+        Log::info("worker_suspected", {{"worker", worker.status.worker.life.worker}, {"reason", std::string(reason)}});
+    }
+    worker.suspectedUntil = now + m_times.suspicion;
+}
+
+bool PoolScheduler::wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const
+{
+    const StepSpec &step = std::as_const(m_jobs).find(unit.job)->spec.steps[unit.key.step];
+    const bool farFromData = !step.homeRack.empty() && step.homeRack != rackOf(worker.status.worker);
+    if (unit.members.size() > 1 || farFromData || step.lasting || step.estimate == Duration::zero()) {
+        return false; // one slow member slows down its whole gang
+    }
+    return static_cast<double>((now - unit.startedAt).count()) > m_times.slowness * static_cast<double>(step.estimate.count());
+}
+
 void PoolScheduler::noteEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now)
 {
     for (const ActiveMember &member : unit.members) {
@@ -208,7 +227,13 @@
         }
         if (*member.ending == RunEnding::Succeeded) {
             worker->failuresInRow = 0;
+            if (wasSlow(unit, *worker, now)) {
+                suspect(*worker, "slow", now);
+            }
+        } else if (*member.ending == RunEnding::NeverStarted && unit.stopping != StopReason::Cancelled) {
+            suspect(*worker, "did not start what it was told to", now);
         } else if (*member.ending == RunEnding::Failed) {
+            suspect(*worker, "failed", now);
             constexpr std::uint32_t suspicious = 2; // one failure may be the task's own
             if (++worker->failuresInRow >= suspicious) {
                 worker->quarantinedUntil = now + m_times.quarantine;
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -26,6 +26,7 @@
     std::uint64_t processedEnd = 0; ///< Ends up to this number are taken into the jobs.
     std::uint64_t recordedEnd = 0; ///< Ends up to this number are recorded in the table service.
     std::uint32_t failuresInRow = 0; ///< Failed tasks since the last good one.
+    TimePoint suspectedUntil{}; ///< Others are preferred before this time.
     TimePoint quarantinedUntil{}; ///< Nothing is placed before this time.
 
     /// @param now Current time.
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -64,6 +64,14 @@
     bool operator==(const WorkerAnnouncement &) const = default;
 };
 
+/// @param worker A worker.
+/// @return Its rack; empty when it names none.
+inline std::string rackOf(const WorkerAnnouncement &worker)
+{
+    // The labels are the worker's kind and its rack, in this order.
+    return worker.labels.empty() ? std::string() : worker.labels.back();
+}
+
 /// Everything that an agent knows of its worker.
 struct WorkerStatus {
     std::uint64_t agentIncarnation = 0; ///< Process of the agent.
--- /dev/null
+++ b/tests/pool/PoolPlannerTest.cpp
@@ -0,0 +1,137 @@
+#include "pool/PoolPlanner.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <list>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr Resources workerRoom{128000, 262144, 8};
+
+/// A pool of workers with eight accelerators, three a rack, and what waits for them.
+struct Fixture {
+    std::list<GraphRecord> jobs;
+    std::vector<PlanGroup> groups;
+    std::vector<PlanWorker> workers;
+    std::vector<PlanVictim> victims;
+    PoolPlanner planner;
+
+    Fixture()
+    {
+        constexpr std::size_t count = 6;
+        constexpr std::size_t rackSize = 3;
+        for (std::size_t worker = 0; worker < count; ++worker) {
+            PlanWorker view;
+            view.free = workerRoom;
+            view.rack = "rack" + std::to_string(worker / rackSize);
+            view.service = "service";
+            view.usable = true;
+            workers.push_back(view);
+        }
+    }
+
+    /// Adds a step that waits.
+    PlanGroup &wait(std::uint32_t tasks, std::int64_t accelerators, std::uint32_t priority, Duration slack = fromMilliseconds(500))
+    {
+        GraphRecord job;
+        job.id = "job" + std::to_string(jobs.size());
+        job.terms.service = "service";
+        job.terms.priority = priority;
+        StepSpec step;
+        step.tasks = tasks;
+        step.demand = {1000 * accelerators, 1000, accelerators};
+        step.estimate = fromMilliseconds(2500);
+        job.spec.steps = {step};
+        jobs.push_back(job);
+        PlanGroup group;
+        group.job = &jobs.back();
+        for (std::uint32_t index = 0; index < tasks; ++index) {
+            group.indexes.push_back(index);
+        }
+        group.slack = slack;
+        groups.push_back(group);
+        return groups.back();
+    }
+
+    /// Fills a worker with a unit that can be stopped.
+    void fill(std::uint32_t worker, double lostWork, std::uint32_t priority = 2)
+    {
+        workers[worker].free = {};
+        PlanVictim victim;
+        victim.workers = {worker};
+        victim.demand = workerRoom;
+        victim.priority = priority;
+        victim.lostWork = lostWork;
+        victims.push_back(victim);
+    }
+
+    PoolPlan plan() const
+    {
+        return planner.plan(groups, workers, victims);
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(PoolPlannerTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(aSuspectWorkerIsUsedLast)
+{
+    // Found by the days with workers that fail everything: a task that had failed went to the same worker again.
+    workers[0].suspect = true;
+    workers[0].free.accelerators = 4; // the tightest fit
+    wait(5, 4, 1);
+    for (const PlannedStart &start : plan().starts) {
+        BOOST_TEST(start.workers.front() != 0U);
+    }
+    BOOST_TEST(plan().starts.size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(aSuspectWorkerIsBetterThanNone)
+{
+    for (PlanWorker &worker : workers) {
+        worker.suspect = true;
+    }
+    wait(12, 4, 1);
+    BOOST_TEST(plan().starts.size() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(anUrgentUnitStopsTheCheapestOnASoundWorker)
+{
+    for (std::uint32_t worker = 0; worker < workers.size(); ++worker) {
+        fill(worker, worker == 0 ? 10.0 : 100.0);
+    }
+    workers[0].suspect = true;
+    wait(1, 8, 0);
+    const PoolPlan result = plan();
+    BOOST_REQUIRE_EQUAL(result.stops.size(), 1U);
+    BOOST_TEST(victims[result.stops.front()].workers.front() != 0U);
+}
+
+BOOST_AUTO_TEST_CASE(anUrgentUnitWithTimeLeftWaitsForOthersToEnd)
+{
+    for (std::uint32_t worker = 0; worker < workers.size(); ++worker) {
+        fill(worker, 100.0);
+    }
+    wait(1, 8, 0, fromMilliseconds(1500));
+    BOOST_TEST(plan().stops.empty());
+}
+
+BOOST_AUTO_TEST_CASE(smallTasksLeaveWholeWorkersFree)
+{
+    wait(12, 1, 2, fromMilliseconds(20000));
+    std::vector<std::size_t> tasks(workers.size());
+    for (const PlannedStart &start : plan().starts) {
+        ++tasks[start.workers.front()];
+    }
+    BOOST_TEST(std::count(tasks.begin(), tasks.end(), 0U) == 4);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace banyanlock
