Move the rows in memory and the checks of runs out of the virtual world, for tests with real processes

Cause: a soak of real processes needs the same rows and the same checks; they were parts of PoolWorld. Change: RowsModel and RunChecks in standins/; PoolWorld uses them. No behaviour changed.

--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -98,9 +98,9 @@
         m_agents[index]->worker = std::make_unique<PoolWorkerModel>(
             announcement,
             [this](const TaskName &task) {
-                return taskOf(task);
+                return m_checks.taskOf(task);
             },
-            makeObserver());
+            m_checks.makeObserver());
         makeAgent(index);
     }
     m_entries.resize(options.entries);
@@ -204,75 +204,6 @@
     m_rows.commit(registration);
 }
 
-PoolWorkerModel::Observer PoolWorld::makeObserver()
-{
-    PoolWorkerModel::Observer observer;
-    observer.onStart = [this](const RunName &run, const PoolWorkerModel &worker) {
-        ++m_starts[run.task.job];
-        Log::info(
-            "model_start",
-            {{"run", describe(run)}, {"worker", worker.announcement().life.worker}, {"at", toMilliseconds(m_now.time_since_epoch())}});
-        m_firstStarts.try_emplace(run.task.job, m_now);
-        if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
-            violate("two runs at once: " + describe(run) + " beside " + describe(running->second));
-        }
-        if (m_doneTasks.contains(run.task)) {
-            violate("started after its end was acknowledged: " + describe(run));
-        }
-        const GraphSpec &spec = m_specs.at(run.task.job);
-        for (const std::uint32_t earlier : spec.steps[run.task.step].after) {
-            for (std::uint32_t index = 0; index < spec.steps[earlier].tasks; ++index) {
-                if (!m_succeeded.contains({run.task.job, run.task.occurrence, earlier, index}) && !spec.steps[earlier].gang) {
-                    violate("started before an earlier step: " + describe(run));
-                }
-            }
-        }
-        if (!worker.announcement().capacity.fits(worker.used())) {
-            violate("more than the worker has: " + describe(run) + " on " + worker.announcement().life.worker);
-        }
-        m_runningTasks[run.task] = run;
-    };
-    observer.onEnd = [this](const RunName &run, RunEnding ending, const PoolWorkerModel &worker) {
-        Log::info("model_end",
-                  {{"run", describe(run)},
-                   {"worker", worker.announcement().life.worker},
-                   {"ending", std::string(runEndingName(ending))},
-                   {"at", toMilliseconds(m_now.time_since_epoch())}});
-        m_runningTasks.erase(run.task);
-        m_stops += ending == RunEnding::Stopped ? 1 : 0;
-        if (ending == RunEnding::Succeeded) {
-            m_succeeded.insert(run.task);
-        }
-    };
-    observer.onAcknowledged = [this](const RunName &run, RunEnding ending, const PoolWorkerModel &) {
-        if (ending == RunEnding::Succeeded) {
-            m_doneTasks.insert(run.task);
-        }
-    };
-    observer.presentMembers = [this](const RunName &run) {
-        std::uint32_t present = 0;
-        for (std::uint32_t index = 0; index < m_specs.at(run.task.job).steps[run.task.step].tasks; ++index) {
-            TaskName member = run.task;
-            member.index = index;
-            const auto running = m_runningTasks.find(member);
-            present += running != m_runningTasks.end() && running->second.run == run.run ? 1 : 0;
-        }
-        return present;
-    };
-    return observer;
-}
-
-ModelTask PoolWorld::taskOf(const TaskName &task) const
-{
-    const StepSpec &step = m_specs.at(task.job).steps[task.step];
-    return {step.demand, step.estimate, membersOf(step), step.checkpoints};
-}
-
-void PoolWorld::violate(const std::string &text)
-{
-    m_violations.push_back(std::to_string(toMilliseconds(m_now.time_since_epoch())) + " ms: " + text);
-}
-
 void PoolWorld::writeConfiguration()
 {
     ++m_configurationVersion;
@@ -308,7 +239,7 @@
 
 void PoolWorld::submit(const std::string &job, const GraphSpec &spec, const std::string &queue, std::size_t entry)
 {
-    m_specs[job] = spec;
+    m_checks.addJob(job, spec);
     GraphRecord record;
     record.spec = spec;
     PoolCall submission;
@@ -435,14 +366,12 @@
 
 std::uint32_t PoolWorld::startsOf(const std::string &job) const
 {
-    const auto found = m_starts.find(job);
-    return found == m_starts.end() ? 0 : found->second;
+    return m_checks.startsOf(job);
 }
 
 std::optional<TimePoint> PoolWorld::firstStart(const std::string &job) const
 {
-    const auto found = m_firstStarts.find(job);
-    return found == m_firstStarts.end() ? std::nullopt : std::optional(found->second);
+    return m_checks.firstStart(job);
 }
 
 } // namespace banyanlock
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "PoolWorkerModel.h"
+#include "RowsModel.h"
+#include "RunChecks.h"
 #include "VirtualLoop.h"
 #include "core/Random.h"
 #include "poolhost/PoolApi.h"
@@ -18,21 +20,13 @@
 namespace banyanlock
 {
 
-/// The table service in memory, shared by all entries of a world.
-struct VirtualRows {
-    std::map<std::pair<std::string, std::string>, TableRow> rows; ///< All rows; erased ones stay, marked.
-    std::uint64_t version = 0; ///< Version of the newest transaction.
+/// The table service of a world, with its faults.
+struct VirtualRows : RowsModel {
     bool down = false; ///< Nobody gets an answer.
     double lostAnswers = 0.0; ///< Share of transactions that take effect without an answer.
     double lateWrites = 0.0; ///< Share of transactions that take effect seconds later, without an answer.
     Duration transactionTime{}; ///< Time that each transaction takes, one after another; one that would wait over a second is turned away.
     TimePoint busyUntil{}; ///< When the transactions that wait are done.
-    std::uint64_t historyFrom = 0; ///< Changes up to this version are forgotten.
-
-    /// Commits a transaction.
-    /// @param transaction Checks and writes.
-    /// @return The result.
-    CommitResult commit(const TableTransaction &transaction);
 };
 
 /// One process's connection to the table service.
@@ -174,7 +168,7 @@
     /// @return What went wrong; empty when everything held.
     const std::vector<std::string> &violations() const
     {
-        return m_violations;
+        return m_checks.violations();
     }
 
     /// @return Starts of a job's tasks so far.
@@ -186,7 +180,7 @@
     /// @return Core-seconds a second that were thrown away by stops so far.
     std::uint32_t stops() const
     {
-        return m_stops;
+        return m_checks.stops();
     }
 
 private:
@@ -201,11 +195,8 @@
     void deliver(Agent &agent, std::uint64_t generation, const SuperviseRequest &request, std::function<void(WorkerStatus)> reply);
     void carryOut(Agent &agent, const SupervisorAction &action);
     void finishRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, TimePoint until);
-    PoolWorkerModel::Observer makeObserver();
-    ModelTask taskOf(const TaskName &task) const;
     void call(PoolCall call, const std::string &job, std::size_t entry);
     void writeConfiguration();
-    void violate(const std::string &text);
 
     std::vector<VirtualLoop *> runningLoops() const;
 
@@ -214,22 +205,17 @@
     VirtualLoop m_network{m_now}; // messages under way, and the workers
     Random m_random;
     VirtualRows m_rows;
+    RunChecks m_checks{[this] {
+        return m_now;
+    }};
     Counters m_counters;
     Latencies m_latencies;
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::list<std::unique_ptr<Entry>> m_ended; // processes that were killed: callbacks may still name them
     std::vector<std::unique_ptr<Agent>> m_agents;
-    std::map<std::string, GraphSpec> m_specs;
     std::map<std::string, CallAnswer> m_answers;
-    std::map<std::string, std::uint32_t> m_starts;
-    std::map<std::string, TimePoint> m_firstStarts;
-    std::map<TaskName, RunName> m_runningTasks;
-    std::set<TaskName> m_succeeded; // ended well
-    std::set<TaskName> m_doneTasks; // ended well, and the end was acknowledged before the lease had lapsed
     std::vector<std::string> m_keys{"key"};
-    std::vector<std::string> m_violations;
     std::uint64_t m_configurationVersion = 0;
-    std::uint32_t m_stops = 0;
 };
 
 /// @return A step of separate tasks.
--- a/tests/pool/VirtualStore.cpp
+++ b/tests/pool/VirtualStore.cpp
@@ -12,32 +12,6 @@
 
 } // namespace
 
-CommitResult VirtualRows::commit(const TableTransaction &transaction)
-{
-    CommitResult result;
-    bool holds = true;
-    for (const RowCheck &check : transaction.checks) {
-        const auto found = rows.find({check.table, check.key});
-        const bool exists = found != rows.end() && !found->second.erased;
-        holds = holds && (exists ? found->second.version : 0) == check.version;
-        if (exists) {
-            result.rows.push_back(found->second);
-        }
-    }
-    if (!holds) {
-        result.state = CommitState::Conflict;
-        return result;
-    }
-    ++version;
-    for (const RowWrite &write : transaction.writes) {
-        rows[{write.table, write.key}] = {write.table, write.key, version, write.value.value_or(""), !write.value.has_value()};
-    }
-    result.rows.clear();
-    result.state = CommitState::Committed;
-    result.version = version;
-    return result;
-}
-
 VirtualStore::VirtualStore(VirtualLoop &loop, VirtualRows &rows, Random &random)
     : m_loop(&loop)
     , m_rows(&rows)
@@ -167,12 +141,9 @@
     if (!isAway()) {
         result.state = after < m_rows->historyFrom ? FollowState::HistoryLost : FollowState::Followed;
         result.version = m_rows->version;
-        for (const auto &[key, row] : m_rows->rows) {
-            if (row.table == table && row.version > after && result.state == FollowState::Followed) {
-                result.rows.push_back(row);
-            }
+        if (result.state == FollowState::Followed) {
+            result.rows = m_rows->changedAfter(table, after);
         }
-        std::ranges::stable_sort(result.rows, {}, &TableRow::version);
     }
     if (m_silent) {
         later(answerLimit, [callback] {
