Add a soak of the pool's real programs under faults from outside

Cause: the pool's processes were tested together only on the users' bench and, as parts, in virtual time. Change: tests/soak/ starts entries and agents as processes against the platform's store and workers (over HTTP, on the models in memory), with a loopback proxy on each link to the store, to a worker and to an entry: delays, resets, refusals, silence, lost answers; processes are killed, paused, stopped, restarted; the store is silent, busy, slow, forgets history, loses answers, writes late; workers start anew, fail, turn slow, carry orders out late. It checks runs as workers see them and states as callers see them. Not covered: the link from the owner to an agent has no proxy (agents are paused and killed instead); clocks that jump.

--- /dev/null
+++ b/tests/soak/WorkerServer.cpp
@@ -0,0 +1,219 @@
+#include "WorkerServer.h"
+
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <sstream>
+#include <stdexcept>
+#include <utility>
+
+namespace banyanlock
+{
+namespace
+{
+
+using Json = nlohmann::json;
+
+constexpr Duration modelStep = fromMilliseconds(20);
+constexpr Duration heartbeat = fromMilliseconds(1000);
+constexpr int statusBadRequest = 400;
+constexpr int statusConflict = 409;
+constexpr int statusOtherInstance = 421;
+
+TaskName taskOf(const std::string &text)
+{
+    std::istringstream stream(text);
+    std::array<std::string, 4> parts;
+    for (std::string &part : parts) {
+        std::getline(stream, part, '.');
+    }
+    return {parts[0], static_cast<std::uint32_t>(std::stoul(parts[1])), static_cast<std::uint32_t>(std::stoul(parts[2])),
+            static_cast<std::uint32_t>(std::stoul(parts[3]))};
+}
+
+std::string textOf(const TaskName &task)
+{
+    return task.job + "." + std::to_string(task.occurrence) + "." + std::to_string(task.step) + "." + std::to_string(task.index);
+}
+
+const char *wordOf(RunEnding ending)
+{
+    switch (ending) {
+    case RunEnding::Succeeded:
+        return "done";
+    case RunEnding::Failed:
+        return "failed";
+    case RunEnding::LeaseLapsed:
+        return "lapsed";
+    case RunEnding::PartnerEnded:
+        return "broken";
+    case RunEnding::WaitedAlone:
+        return "alone";
+    default:
+        return "stopped";
+    }
+}
+
+ServerResponse jsonAnswer(int status, const Json &body)
+{
+    ServerResponse response;
+    response.status = status;
+    response.contentType = "application/json";
+    response.body = std::make_shared<const std::string>(body.dump());
+    return response;
+}
+
+int statusOf(OrderOutcome outcome)
+{
+    return outcome == OrderOutcome::Done ? 200 : outcome == OrderOutcome::OtherLife ? statusOtherInstance : statusConflict;
+}
+
+} // namespace
+
+WorkerServer::WorkerServer(EventLoop &loop, HttpClient &http, const Endpoint &endpoint, std::string announceUrl, PoolWorkerModel model,
+                           Random &random)
+    : m_loop(loop)
+    , m_http(loop, http)
+    , m_announceUrl(std::move(announceUrl))
+    , m_model(std::move(model))
+    , m_random(random)
+    , m_server(loop, HttpServerLimits(), m_counters, [this](const ServerRequest &request, const HttpServer::Responder &respond) {
+        serve(request, respond);
+    })
+{
+    const Result<Done> listening = m_server.listen(endpoint);
+    if (!isOk(listening)) {
+        throw std::runtime_error(errorOf(listening).detail);
+    }
+    m_model.rebirth(EventLoop::now());
+    m_loop.repeat(modelStep, [this](TimePoint now) {
+        m_model.advance(now);
+    });
+    m_loop.repeat(heartbeat, [this](TimePoint) {
+        announce();
+    });
+}
+
+void WorkerServer::serve(const ServerRequest &request, const HttpServer::Responder &respond)
+{
+    if (m_away) {
+        return;
+    }
+    if (request.header("Expected-Instance") != m_model.announcement().life.worker) {
+        respond(jsonAnswer(statusOtherInstance, Json::object()));
+        return;
+    }
+    try {
+        if (request.path == "/api/hold") {
+            const Json body = Json::parse(request.body);
+            hold(request, respond, EventLoop::now() + fromMilliseconds(body.value("waitMs", std::int64_t{0})));
+        } else {
+            order(request, respond);
+        }
+    } catch (const Json::exception &) {
+        respond(jsonAnswer(statusBadRequest, Json::object()));
+    }
+}
+
+void WorkerServer::order(const ServerRequest &request, const HttpServer::Responder &respond)
+{
+    if (!m_random.chance(m_lateOrders)) {
+        respond(carryOut(request));
+        return;
+    }
+    const Duration late = fromMilliseconds(2000 + m_random.below(8000));
+    m_loop.timers().subscribe(EventLoop::now() + late, [this, request](TimePoint) {
+        if (!m_away) {
+            carryOut(request);
+        }
+    });
+}
+
+ServerResponse WorkerServer::carryOut(const ServerRequest &request)
+{
+    const Json body = Json::parse(request.body);
+    const RunName run{taskOf(body.at("task")), body.at("run")};
+    const WorkerLife life = m_model.announcement().life;
+    const std::uint64_t epoch = body.value("fencingToken", std::uint64_t{0});
+    const TimePoint now = EventLoop::now();
+    if (request.path == "/api/run-stop") {
+        return jsonAnswer(statusOf(m_model.stop({run, life, epoch}, now)), Json::object());
+    }
+    const auto [outcome, reason] = m_model.start(
+        {run, life, epoch, body.at("spec"), body.value("checkpointedAt", ""), fromMilliseconds(body.at("deadlineMs").get<std::int64_t>())},
+        now);
+    return jsonAnswer(statusOf(outcome), {{"reason", reason}});
+}
+
+void WorkerServer::hold(const ServerRequest &request, const HttpServer::Responder &respond, TimePoint until)
+{
+    if (m_away) {
+        return;
+    }
+    const Json body = Json::parse(request.body);
+    const TimePoint now = EventLoop::now();
+    RenewWorker action;
+    action.epoch = body.value("fencingToken", std::uint64_t{0});
+    action.acknowledgedEnd = body.value("lastSeen", std::uint64_t{0});
+    action.life = m_model.announcement().life;
+    if (body.contains("deadlineMs")) {
+        action.leaseEnd = fromMilliseconds(body["deadlineMs"].get<std::int64_t>());
+    }
+    const std::optional<WorkerLists> lists = m_model.renew(action, now);
+    if (!lists) {
+        respond(jsonAnswer(statusConflict, {{"reason", "fence"}}));
+    } else if (lists->ends.empty() && now < until) {
+        constexpr Duration look = fromMilliseconds(20);
+        ServerRequest again = request;
+        Json waiting = body;
+        waiting.erase("deadlineMs"); // the lease was renewed when the call came
+        again.body = waiting.dump();
+        m_loop.timers().subscribe(now + look, [this, again, respond, until](TimePoint) {
+            hold(again, respond, until);
+        });
+    } else {
+        respond(listsAnswer(*lists));
+    }
+}
+
+ServerResponse WorkerServer::listsAnswer(const WorkerLists &lists) const
+{
+    Json running = Json::array();
+    for (const RunReport &report : lists.runs) {
+        running.push_back({textOf(report.run.task), report.run.run, report.checkpoint, 100});
+    }
+    Json finished = Json::array();
+    for (const RunEnd &end : lists.ends) {
+        finished.push_back({end.number, textOf(end.run.task), end.run.run, wordOf(end.ending), end.checkpoint});
+    }
+    return jsonAnswer(
+        200,
+        {{"born", lists.bornUnixMilliseconds}, {"clockMs", toMilliseconds(lists.clock)}, {"running", running}, {"finished", finished}});
+}
+
+void WorkerServer::announce()
+{
+    if (m_away) {
+        return;
+    }
+    const WorkerAnnouncement worker = m_model.announce();
+    HttpRequest request;
+    request.method = "PUT";
+    request.url = m_announceUrl + "/api/instances/" + worker.life.worker;
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = Json{{"service", worker.service},
+                        {"zone", worker.failureDomain},
+                        {"state", worker.draining ? "draining" : "ready"},
+                        {"capacity",
+                         {{"cpu", worker.capacity.processors}, {"memMb", worker.capacity.memory}, {"gpu", worker.capacity.accelerators}}},
+                        {"labels", worker.labels},
+                        {"remainingMs", toMilliseconds(worker.leavesAfter)},
+                        {"born", worker.life.bornUnixMilliseconds},
+                        {"seq", worker.sequence}}
+                       .dump();
+    request.timeoutMilliseconds = 1000;
+    m_http.send(std::move(request), [](const HttpReply &) {
+    });
+}
+
+} // namespace banyanlock
