Count an answered start as begun before the next lists show it

Agents told the owner of a run as begun only once the worker's lists showed it, up to 1 s later with the wait, plus the way: just beyond the grace. Change: a start that the worker has answered is told as begun at once; one that was closed by a stop meanwhile is not. Test: anAnsweredStartIsToldAsBegunBeforeTheNextLists, failed before.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -538,7 +538,8 @@
     }
     for (const auto &[run, startedAt] : m_confirmed) {
         if (!isListed(run) && !m_starts.contains(run)) {
-            status.runs.push_back({run, true, {}});
+            // The worker's word for a start is enough; a run that was closed by a stop may never have begun.
+            status.runs.push_back({run, m_closed.contains(run), {}});
         }
     }
     status.refusals.assign(m_refusals.begin(), m_refusals.end());
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -133,6 +133,17 @@
     BOOST_TEST(takeStops().empty());
 }
 
+BOOST_AUTO_TEST_CASE(anAnsweredStartIsToldAsBegunBeforeTheNextLists)
+{
+    // Found by himal-recall-grown, scale-2: lists come up to a second later, and the owner stopped gangs that were whole.
+    const std::vector<StartTask> copies = takeStarts();
+    BOOST_REQUIRE_EQUAL(copies.size(), 1U);
+    supervisor.onStarted(copies.front(), OrderOutcome::Done, "", now);
+    const WorkerStatus status = supervisor.status(now, 0);
+    BOOST_REQUIRE_EQUAL(status.runs.size(), 1U);
+    BOOST_TEST(!status.runs.front().starting);
+}
+
 BOOST_AUTO_TEST_CASE(aRefusedCopyOfAStartIsClosedByAStop)
 {
     const std::vector<StartTask> copies = takeStarts();
