Account for orders that reach a new life of their worker under its old id

Calls name the worker's id alone, so a start meant for the earlier life began in the new one; the owner took it as gone with the earlier life and started it again, after its success was acknowledged. Ends could be acknowledged by numbers of the earlier life, too. Change: a run of an earlier life that the new life lists, running or ended, is taken over as it is. After a change of life the agent closes by stops all starts of the last 13 s that the new lists don't show, and tells of them as open until then. While nothing listens at the worker, or lists come from another birth, nothing is started and no end is acknowledged.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -183,11 +183,20 @@
     if (status.worker.life.worker.empty()) {
         return; // a new agent process that has not heard of its worker
     }
+    const auto end = std::ranges::find(status.ends, member.run, &RunEnd::run);
+    const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
     if (status.worker.life != member.place.life) {
-        member.ending = RunEnding::WorkerGone;
-        return;
+        const bool sameId = status.worker.life.worker == member.place.life.worker;
+        if (sameId && !status.listed) {
+            return; // an order for the earlier life may have reached the new one
+        }
+        if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
+            member.ending = RunEnding::WorkerGone;
+            return;
+        }
+        Log::info("run_in_new_life", {{"run", describe(member.run)}, {"worker", status.worker.life.worker}});
+        member.place.life = status.worker.life;
     }
-    const auto end = std::ranges::find(status.ends, member.run, &RunEnd::run);
     if (end != status.ends.end()) {
         member.ending = end->ending;
         if (!end->checkpoint.empty()) {
@@ -195,7 +204,6 @@
         }
         return;
     }
-    const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
     if (report != status.runs.end()) {
         member.confirmed = member.confirmed || !report->starting;
         if (!report->checkpoint.empty()) {
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -37,6 +37,7 @@
     m_listed = false;
     m_silent = false;
     m_refusing = false;
+    m_lifeDoubtful = false;
     m_lapsed = false;
     m_renewalOut = false;
     m_lookNow = false;
@@ -73,6 +74,11 @@
                        {"earlier_worker", known.worker},
                        {"earlier_born", known.bornUnixMilliseconds}});
             resetLife();
+            // Calls name the worker's id alone: orders for its earlier life may have reached the new one, or still may.
+            m_closesEarlierOrders = announcement.life.worker == known.worker;
+            if (!m_closesEarlierOrders) {
+                m_sentStarts.clear();
+            }
         }
     }
     WorkerAnnouncement previous = m_worker.value_or(WorkerAnnouncement());
@@ -187,6 +193,8 @@
         refuse(order.run, "agent is stopping");
     } else if (!m_listed) {
         refuse(order.run, "worker's lists are not known yet");
+    } else if (m_lifeDoubtful) {
+        refuse(order.run, "worker may have started anew");
     } else {
         Log::info("task_start_ordered", {{"run", describe(order.run)}, {"epoch", static_cast<std::int64_t>(m_epoch)}});
         sendStart(m_starts[order.run] = {order}, now);
@@ -198,10 +206,29 @@
     const TaskOrder &order = pending.order;
     pending.outstanding = true;
     ++pending.tries;
+    std::erase_if(m_sentStarts, [&](const auto &sent) {
+        return now - sent.second.second > m_times.longestDelay;
+    });
+    m_sentStarts[order.run] = {order, now};
     m_actions.emplace_back(
         StartTask{order.run, order.life, m_epoch, order.payload, order.checkpoint, workerClock(now) + (order.startBy - now)});
 }
 
+void WorkerSupervisor::carryOverOrders(TimePoint now)
+{
+    for (auto &[run, sent] : std::exchange(m_sentStarts, {})) {
+        if (isListed(run) || now - sent.second > m_times.longestDelay) {
+            continue;
+        }
+        // A stop closes the run for good; without its answer the order may come until it is surely over.
+        TaskOrder order = std::move(sent.first);
+        order.life = m_worker->life;
+        order.startBy = sent.second + m_times.longestDelay;
+        m_starts[run] = {std::move(order), false, now, 0};
+        beginStop(run, m_worker->life, now);
+    }
+}
+
 bool WorkerSupervisor::mayRepeat(const PendingOrder &pending, const StartTask &action, TimePoint now) const
 {
     return pending.tries < m_times.orderTries && action.epoch == m_epoch && now < pending.order.startBy && !m_worker->draining && !m_leaving
@@ -241,7 +268,11 @@
         changed();
     }
     const std::optional<WorkerLists> &lists = answer.lists;
-    if (!lists || lists->bornUnixMilliseconds != m_worker->life.bornUnixMilliseconds) {
+    const bool otherLife = lists && lists->bornUnixMilliseconds != m_worker->life.bornUnixMilliseconds;
+    if (answer.refused || lists) {
+        m_lifeDoubtful = answer.refused || otherLife;
+    }
+    if (!lists || otherLife) {
         m_lookNow = m_lookNow || (m_listed && action.wait == Duration::zero()); // what it was to show is still to be seen
         m_nextRenewal = now + m_times.repeat;
         return;
@@ -303,6 +334,9 @@
                    {"ends", static_cast<std::int64_t>(m_ends.size())}});
     }
     m_listed = true;
+    if (std::exchange(m_closesEarlierOrders, false)) {
+        carryOverOrders(now);
+    }
     closePassedStarts(sentAt);
     if (news) {
         changed();
@@ -445,7 +479,7 @@
     }
     RenewWorker renewal;
     renewal.epoch = m_epoch;
-    renewal.acknowledgedEnd = m_acknowledgedEnd;
+    renewal.acknowledgedEnd = m_lifeDoubtful ? 0 : m_acknowledgedEnd; // numbers of ends begin anew with each life
     renewal.life = m_worker->life;
     const Duration sinceContact = now - m_ownerContact;
     if (m_listed && isAnswering(now) && m_hasOwnerContact && sinceContact < m_times.lease) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -23,6 +24,7 @@
     Duration silence = fromMilliseconds(2500); ///< Time without lists after which the lease is not renewed; bears one lost answer.
     Duration leaseSlack = fromMilliseconds(320); ///< The worker's clock may run 2 % slow, and timers fire late.
     Duration quickRepeat = fromMilliseconds(30); ///< Pause before the first repetitions of an unanswered stop; ten usual answers long.
+    Duration longestDelay = fromMilliseconds(13000); ///< Longest time for which an order may be under way; some come 12 s late.
     std::uint32_t orderTries
         = 4; ///< Times that a start is sent, and a stop is sent quickly; four lost in a row are rare even if a third is.
     Duration answerSlack = fromMilliseconds(700); ///< Time for lists to come beyond the wait.
@@ -166,6 +168,7 @@
     }
 
     void resetLife();
+    void carryOverOrders(TimePoint now);
     void takeOrder(const TaskOrder &order, TimePoint now);
     void beginStop(const RunName &run, const WorkerLife &life, TimePoint now);
     void refuse(const RunName &run, const std::string &reason);
@@ -200,6 +203,7 @@
     TimePoint m_leaseSentAt{}; // when the lease was last renewed, answered or not
     bool m_silent = false;
     bool m_refusing = false;
+    bool m_lifeDoubtful = false; // the worker may have started anew without having announced it
     bool m_lapsed = false;
     TimePoint m_nextRenewal{};
     Duration m_clockAtAnswer{};
@@ -211,6 +215,8 @@
     std::map<RunName, PendingOrder> m_starts;
     std::map<RunName, TimePoint> m_confirmed; // started after the newest lists were asked for
     std::map<RunName, PendingOrder> m_stops;
+    std::map<RunName, std::pair<TaskOrder, TimePoint>> m_sentStarts; // lately, with the time: a copy may still be under way
+    bool m_closesEarlierOrders = false; // once the new life's lists are known
     std::set<RunName> m_closed; // runs that may not start any more
     std::deque<RunRefusal> m_refusals;
     std::vector<SupervisorAction> m_actions;
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -239,6 +239,26 @@
     checkCompleted(world, "job1");
 }
 
+BOOST_AUTO_TEST_CASE(aTaskThatReachedANewLifeOfItsWorkerRunsOnce)
+{
+    // Found by the soak, seed 31: the worker started anew between two announcements, and the order reached the new life.
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            WorldOptions options;
+            options.seed = seed;
+            PoolWorld world(options);
+            world.run(settle + fromMilliseconds(100));
+            for (std::size_t worker = 0; worker < world.workerCount(); ++worker) {
+                world.worker(worker).rebirth(world.now());
+            }
+            world.submit("job1", makeJob(makeStep(12, 1, 700)), "normal");
+            world.run(fromMilliseconds(8000));
+            checkCompleted(world, "job1");
+        }
+    }
+}
+
 BOOST_AUTO_TEST_CASE(aFrozenOwnerDoesNoHarmWhenItWakes)
 {
     PoolWorld world({});
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -127,7 +127,9 @@
         });
         return;
     }
-    const std::optional<WorkerLists> lists = agent.worker->renew(action, m_now);
+    RenewWorker arriving = action;
+    arriving.life = addressedLife(agent, action.life);
+    const std::optional<WorkerLists> lists = agent.worker->renew(arriving, m_now);
     if (lists && lists->ends.empty() && m_now < until) {
         m_network.after(fromMilliseconds(50), [this, index, generation, action, until] {
             RenewWorker look = action;
@@ -143,6 +145,13 @@
     });
 }
 
+WorkerLife PoolWorld::addressedLife(const Agent &agent, const WorkerLife &meant)
+{
+    // Calls name the worker's id alone.
+    const WorkerLife &present = agent.worker->announcement().life;
+    return present.worker == meant.worker ? present : meant;
+}
+
 void PoolWorld::carryOut(Agent &agent, const SupervisorAction &action)
 {
     const std::uint64_t generation = agent.generation;
@@ -170,7 +179,9 @@
             if (!reaches || agent.gone) {
                 return;
             }
-            const auto [outcome, reason] = agent.worker->start(start, m_now);
+            StartTask arriving = start;
+            arriving.life = addressedLife(agent, start.life);
+            const auto [outcome, reason] = agent.worker->start(arriving, m_now);
             if (!late) {
                 back(fromMilliseconds(1), [this, start, outcome = outcome, reason = reason](WorkerSupervisor &supervisor) {
                     supervisor.onStarted(start, outcome, reason, m_now);
@@ -187,7 +198,7 @@
             if (!reaches || agent.gone) {
                 return;
             }
-            const OrderOutcome outcome = agent.worker->stop(stop, m_now);
+            const OrderOutcome outcome = agent.worker->stop({stop.run, addressedLife(agent, stop.life), stop.epoch}, m_now);
             if (!late) {
                 back(fromMilliseconds(1), [this, stop, outcome](WorkerSupervisor &supervisor) {
                     supervisor.onStopped(stop, outcome, m_now);
