--- a/tests/soak/RowsServer.cpp
+++ b/tests/soak/RowsServer.cpp
@@ -1,5 +1,6 @@
 #include "RowsServer.h"
 
+#include "JsonAnswer.h"
 #include "core/SettingKey.h"
 #include "platform/Base64.h"
 
@@ -20,15 +21,6 @@
 constexpr int statusConflict = 412;
 constexpr int statusUnavailable = 503;
 
-ServerResponse jsonAnswer(int status, const Json &body)
-{
-    ServerResponse response;
-    response.status = status;
-    response.contentType = "application/json";
-    response.body = std::make_shared<const std::string>(body.dump());
-    return response;
-}
-
 Json rowsJson(const std::vector<TableRow> &rows)
 {
     Json list = Json::array();
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -1,5 +1,7 @@
 #include "WorkerServer.h"
 
+#include "JsonAnswer.h"
+
 #include <array>
 #include <charconv>
 #include <nlohmann/json.hpp>
@@ -54,15 +56,6 @@
     }
 }
 
-ServerResponse jsonAnswer(int status, const Json &body)
-{
-    ServerResponse response;
-    response.status = status;
-    response.contentType = "application/json";
-    response.body = std::make_shared<const std::string>(body.dump());
-    return response;
-}
-
 int statusOf(OrderOutcome outcome)
 {
     return outcome == OrderOutcome::Done ? 200 : outcome == OrderOutcome::OtherLife ? statusOtherInstance : statusConflict;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -33,7 +33,8 @@
             std::filesystem::create_directories(soak.directory);
             Soak run(soak);
             const std::vector<std::string> violations = run.run();
-            std::cout << "seed " << seed << ": " << run.acceptedJobs() << " jobs accepted, " << violations.size() << " violations\n";
+            std::cout << "seed " << seed << ": " << run.acceptedJobs() << " jobs accepted, " << violations.size() << " violations"
+                      << std::endl;
             for (const std::string &violation : violations) {
                 std::cout << "seed " << seed << ": " << violation << "\n";
             }
