Keep a copy of a transaction under way each 0.3 s, so that ends are recorded soon after an outage

The answer limit of 1.5 s, new with StorePace, let three copies wait while the next was sent 0.9 s later. Change: up to five copies, one each 0.3 s; a slow store still gets fewer. Test: endsAreRecordedSoonAfterTheStoreIsBack failed once the virtual store waits 1.5 s as the adapter does, and passes now.

--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -22,7 +22,8 @@
     Duration retry = fromMilliseconds(200); ///< Pause after a transaction that did not go through.
     Duration longestRetry = fromMilliseconds(800); ///< Longest pause after tries that did not go through; each doubles the one before.
     Duration check = fromMilliseconds(250); ///< Time between two looks while nothing can be taken.
-    int mostCopies = 3; ///< Copies of a transaction under way at once.
+    int mostCopies = 5; ///< Copies of a transaction under way at once: one each 0.3 s of the 1.5 s for which an answer is waited for, so
+                        ///< that one is on its way soon after an outage.
 };
 
 /// Takes and gives up the pool, and writes the owner's transactions: one at a time, each checking and rewriting the owner's row.
--- a/src/poolhost/RepeatedCommit.h
+++ b/src/poolhost/RepeatedCommit.h
@@ -39,7 +39,7 @@
 
 private:
     static constexpr Duration checkInterval = fromMilliseconds(100); // a third of the shortest time between two copies
-    static constexpr int mostCopies = 3; // under way at once; three lost in a row are rare even if a third is
+    static constexpr int mostCopies = 5; // under way at once: one each 0.3 s of the 1.5 s for which an answer is waited for
 
     RepeatedCommit(typename Platform::Loop &loop, typename Platform::Store &store, StorePace &pace, TableTransaction transaction,
                    std::function<bool(TimePoint)> givesUp, Callback callback)
--- a/tests/pool/VirtualStore.cpp
+++ b/tests/pool/VirtualStore.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr Duration answerLimit = fromMilliseconds(1000);
+constexpr Duration transactionLimit = fromMilliseconds(1500); // as the adapter's client waits
 
 } // namespace
 
@@ -37,13 +38,13 @@
 {
     later(delay(), [this, transaction, callback = std::move(callback)] {
         if (m_silent) {
-            later(answerLimit, [callback] {
+            later(transactionLimit, [callback] {
                 callback(CommitResult());
             });
             return;
         }
         if (isAway()) {
-            later(m_random->chance(0.5) ? delay() : answerLimit, [callback] {
+            later(m_random->chance(0.5) ? delay() : transactionLimit, [callback] {
                 CommitResult result;
                 result.state = CommitState::NotSent;
                 callback(result);
@@ -62,7 +63,7 @@
         }
         const CommitResult result = late ? CommitResult() : m_rows->commit(transaction);
         if (late || m_random->chance(m_rows->lostAnswers)) {
-            later(answerLimit, [callback] {
+            later(transactionLimit, [callback] {
                 callback(CommitResult());
             });
             return;
