Drop what nothing uses in the soak, and correct a comment on takeover

Cause: read as a newcomer: WorkerServer::setAway and Soak::m_healed were never used; the comment on takeAfter named a reason that went when StorePace came. Change: both removed, the comment says four usual renewals. No behaviour changed.

--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -15,9 +15,8 @@
 
 /// Times of the pool's ownership.
 struct OwnershipTimes {
-    Duration takeAfter
-        = fromMilliseconds(1200); ///< Time without one after which another entry takes the pool; bears a slow store, which takes 0.5 s for
-                                  ///< each. A try that comes too early, since changes were told late, is refused.
+    Duration takeAfter = fromMilliseconds(1200); ///< Time without one after which another entry takes the pool; four usual renewals. A try
+                                                 ///< that comes too early, since changes were told late, is refused.
     Duration stagger = fromMilliseconds(60); ///< Spread of the entries' tries, so that mostly one of them writes; a try takes 25 ms.
     Duration retry = fromMilliseconds(200); ///< Pause after a transaction that did not go through.
     Duration longestRetry = fromMilliseconds(800); ///< Longest pause after tries that did not go through; each doubles the one before.
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -10,7 +10,6 @@
 
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -99,7 +98,6 @@
     std::uint64_t m_configurationVersion = 0;
     TimePoint m_faultsEnd{};
     TimePoint m_deadline{};
-    bool m_healed = false;
 };
 
 } // namespace banyanlock
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -89,9 +89,6 @@
 
 void WorkerServer::serve(const ServerRequest &request, const HttpServer::Responder &respond)
 {
-    if (m_away) {
-        return;
-    }
     if (request.header("Expected-Instance") != m_model.announcement().life.worker) {
         respond(jsonAnswer(statusOtherInstance, Json::object()));
         return;
@@ -117,7 +114,7 @@
     const Duration late = fromMilliseconds(2000 + m_random.below(8000));
     const WorkerLife life = m_model.announcement().life; // what this process took in ends with it
     m_loop.timers().subscribe(EventLoop::now() + late, [this, request, life](TimePoint) {
-        if (!m_away && m_model.announcement().life == life) {
+        if (m_model.announcement().life == life) {
             carryOut(request);
         }
     });
@@ -141,9 +138,6 @@
 
 void WorkerServer::hold(const ServerRequest &request, const HttpServer::Responder &respond, const WorkerLife &life, TimePoint until)
 {
-    if (m_away) {
-        return;
-    }
     if (m_model.announcement().life != life) {
         ServerResponse broken; // the process that took the call in has ended
         broken.truncateBody = true;
@@ -194,9 +188,6 @@
 
 void WorkerServer::announce()
 {
-    if (m_away) {
-        return;
-    }
     const WorkerAnnouncement worker = m_model.announce();
     HttpRequest request;
     request.method = "PUT";
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -37,13 +37,6 @@
         m_lateOrders = share;
     }
 
-    /// Sets whether it is away: it runs nothing, answers nothing and announces nothing.
-    /// @param away Whether it is.
-    void setAway(bool away)
-    {
-        m_away = away;
-    }
-
 private:
     void serve(const ServerRequest &request, const HttpServer::Responder &respond);
     void order(const ServerRequest &request, const HttpServer::Responder &respond);
@@ -59,7 +52,6 @@
     Random &m_random;
     Counters m_counters;
     double m_lateOrders = 0.0;
-    bool m_away = false;
     HttpServer m_server;
 };
 
