Log each start and stop with the worker's incarnation and agent process

The hypotheses of the incident differ in which incarnation of a worker an order was made for and which one executed it, and in what proved the end of a run. No line told either. Starts and stops sent, runs that appear without an order of this agent process, and the proof by which the owner takes a run as ended now carry worker, start time, agent process, epoch, deadline and age of the lists. Two counters: runs adopted from an earlier agent process, and runs that nobody ordered from this incarnation.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -103,6 +103,8 @@
     {PoolRunsWaitedAlone, "banyanlock_pool_runs_total", "event=\"waited_alone\"", ""},
     {PoolRunsNeverStarted, "banyanlock_pool_runs_total", "event=\"never_started\"", ""},
     {PoolRunsWorkerGone, "banyanlock_pool_runs_total", "event=\"worker_gone\"", ""},
+    {PoolRunsAdopted, "banyanlock_pool_runs_total", "event=\"adopted\"", ""},
+    {PoolRunsUnordered, "banyanlock_pool_runs_total", "event=\"unordered\"", ""},
     {PoolPreemptions, "banyanlock_pool_preemptions_total", "", "Units stopped to make room for others."},
     {PoolOrdersFenced, "banyanlock_pool_fenced_total", "", "Calls of an earlier owner that were refused."},
     {PoolStartsRepeated, "banyanlock_pool_starts_repeated_total", "", "Starts that an agent sent again because the worker did not answer."},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -105,6 +105,8 @@
     PoolRunsWaitedAlone,
     PoolRunsNeverStarted,
     PoolRunsWorkerGone,
+    PoolRunsAdopted,
+    PoolRunsUnordered,
     PoolPreemptions,
     PoolOrdersFenced,
     PoolStartsRepeated,
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -196,6 +196,13 @@
         }
         if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
             member.ending = RunEnding::WorkerLost;
+            Log::info("run_lost_with_worker",
+                      {{"run", describe(member.run)},
+                       {"worker", member.place.incarnation.worker},
+                       {"born", member.place.incarnation.startedUnixMilliseconds},
+                       {"reported_worker", status.worker.incarnation.worker},
+                       {"reported_born", status.worker.incarnation.startedUnixMilliseconds},
+                       {"agent_process", static_cast<std::int64_t>(status.agentIncarnation)}});
             return;
         }
         Log::info("run_in_new_incarnation", {{"run", describe(member.run)}, {"worker", status.worker.incarnation.worker}});
@@ -225,7 +232,12 @@
         = member.batch != 0 && status.agentIncarnation == member.agentIncarnation && status.lastOrderBatch >= member.batch;
     if (status.runsKnown && (fenced || orderApplied || worker.statusRequestedAt > member.startExpiredAt)) {
         member.ending = member.confirmed ? RunEnding::LeaseExpired : RunEnding::NeverStarted;
-        Log::info("run_not_reported", {{"run", describe(member.run)}, {"worker", member.place.incarnation.worker}});
+        Log::info("run_not_reported",
+                  {{"run", describe(member.run)},
+                   {"worker", member.place.incarnation.worker},
+                   {"born", member.place.incarnation.startedUnixMilliseconds},
+                   {"agent_process", static_cast<std::int64_t>(status.agentIncarnation)},
+                   {"proof", std::string(fenced ? "fenced" : (orderApplied ? "order_applied" : "start_deadline_passed"))}});
     }
 }
 
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -264,6 +264,7 @@
     unit.run = ++progress.run;
     unit.startedAt = now;
     std::string workers;
+    Duration oldestStatus{};
     for (std::uint32_t member = 0; member < start.workers.size(); ++member) {
         const PoolWorker &worker = m_workers.at(agents[start.workers[member]]);
         ActiveMember active;
@@ -271,7 +272,9 @@
         active.place = {worker.status.worker.incarnation, worker.agent};
         active.checkpoint = progress.checkpoint;
         progress.places.push_back(active.place);
-        workers += (workers.empty() ? "" : ",") + worker.status.worker.incarnation.worker;
+        workers += (workers.empty() ? "" : ",") + worker.status.worker.incarnation.worker + "@"
+            + std::to_string(worker.status.worker.incarnation.startedUnixMilliseconds);
+        oldestStatus = std::max(oldestStatus, now - worker.statusReceivedAt);
         unit.members.push_back(std::move(active));
     }
     if (job->progress.state == GraphState::Queued) {
@@ -284,6 +287,7 @@
                {"index", static_cast<std::int64_t>(key.index)},
                {"run", static_cast<std::int64_t>(unit.run)},
                {"workers", workers},
+               {"oldest_status_ms", toMilliseconds(oldestStatus)},
                {"waited_ms", toMilliseconds(group.waited)},
                {"slack_ms", toMilliseconds(group.slack)},
                {"configuration", static_cast<std::int64_t>(m_operators.configuration.version)}});
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -212,8 +212,17 @@
         return now - sent.second.second > m_timing.maxOrderDelay;
     });
     m_sentStarts[order.run] = {order, now};
-    m_actions.emplace_back(
-        StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, workerClock(now) + (order.startBy - now)});
+    const Duration startBy = workerClock(now) + (order.startBy - now);
+    Log::info("task_start_sent",
+              {{"run", describe(order.run)},
+               {"worker", order.incarnation.worker},
+               {"born", order.incarnation.startedUnixMilliseconds},
+               {"agent_process", static_cast<std::int64_t>(m_incarnation)},
+               {"epoch", static_cast<std::int64_t>(m_epoch)},
+               {"worker_clock_deadline_ms", toMilliseconds(startBy)},
+               {"lists_age_ms", toMilliseconds(now - m_listsReceivedAt)},
+               {"attempt", static_cast<std::int64_t>(pending.attempts)}});
+    m_actions.emplace_back(StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, startBy});
 }
 
 void WorkerSupervisor::carryOverOrders(TimePoint now)
@@ -322,6 +331,7 @@
         m_stops.erase(end.run);
     }
     for (const RunReport &report : lists.runs) {
+        reportUnordered(report.run);
         m_confirmed.erase(report.run);
         if (m_closed.contains(report.run) && !m_stops.contains(report.run)) {
             beginStop(report.run, m_worker->incarnation, now);
@@ -348,6 +358,20 @@
     }
 }
 
+void WorkerSupervisor::reportUnordered(const RunName &run)
+{
+    if (isListed(run) || m_starts.contains(run) || m_confirmed.contains(run)) {
+        return;
+    }
+    // Expected in the first lists that a process sees; later it means that an order to an earlier incarnation was executed by this one.
+    m_counters.add(m_runsKnown ? Counter::PoolRunsUnordered : Counter::PoolRunsAdopted);
+    Log::info(m_runsKnown ? "run_unordered" : "run_adopted",
+              {{"run", describe(run)},
+               {"worker", m_worker->incarnation.worker},
+               {"born", m_worker->incarnation.startedUnixMilliseconds},
+               {"agent_process", static_cast<std::int64_t>(m_incarnation)}});
+}
+
 void WorkerSupervisor::closeExpiredStarts(TimePoint listedAt)
 {
     // An unanswered start can no longer take effect if lists requested after its start deadline don't contain it. The deadline is checked
@@ -517,6 +541,12 @@
         }
         pending.outstanding = true;
         ++pending.attempts;
+        Log::info("task_stop_sent",
+                  {{"run", describe(run)},
+                   {"worker", pending.order.incarnation.worker},
+                   {"born", pending.order.incarnation.startedUnixMilliseconds},
+                   {"epoch", static_cast<std::int64_t>(m_epoch)},
+                   {"attempt", static_cast<std::int64_t>(pending.attempts)}});
         m_actions.emplace_back(StopTask{run, pending.order.incarnation, m_epoch});
     }
     for (const RunName &run : finished) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -180,6 +180,7 @@
     void applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now);
     void sendStart(PendingOrder &pending, TimePoint now);
     bool canRetryStart(const PendingOrder &pending, const StartTask &action, TimePoint now) const;
+    void reportUnordered(const RunName &run);
     void closeExpiredStarts(TimePoint listedAt);
     Duration workerClock(TimePoint now) const;
     bool isListed(const RunName &run) const;
