Don't let libcurl resend requests whose refusal counts as a proof

Callers saw: a task ran twice, and a worker was given more than its room.

Cause: libcurl resends a request when a reused connection closes before the first byte of the response. The agent counts one attempt, so when the worker executed the first copy, lost its answer and refused the second one (429, 503, 409), the agent closed the start as never executed. The owner placed the task again (two runs) and counted the room of the first run as free (worker over its room). Transactions of the store had the same fault: 503 to the second copy was reported as not sent, so a submission that had taken effect could be refused as not run.

Why this works: before libcurl sends the request for a second time, the exchange aborts it and reports Lost, which every caller already handles as possibly executed. Repeating is left to the layers that count attempts: WorkerSupervisor, RepeatedCommit, PoolOwner. Requests that say that they are idempotent, and GET, may still be resent. The former neverRepeat is split into its two parts, a connection of its own and the permission to resend.

--- a/src/agent/AgentDaemon.cpp
+++ b/src/agent/AgentDaemon.cpp
@@ -118,7 +118,8 @@
         {"Content-Type", message.contentType}, {"Banyanlock-Attempt", message.id.toString()}, {"Banyanlock-Workspace", message.workspace}};
     request.body = *message.body;
     request.timeoutMilliseconds = std::max<long>(1, toMilliseconds(message.timeout));
-    request.neverRepeat = !message.idempotent;
+    request.ownConnection = !message.idempotent;
+    request.mayResend = message.idempotent;
     m_http.send(std::move(request), [this, id = message.id](HttpReply reply) {
         m_loop.post([this, id, reply = std::move(reply)]() mutable {
             m_backendHealthy = m_backendHealthy && reply.delivery != HttpDelivery::NotSent;
--- a/src/program/OperatorClient.cpp
+++ b/src/program/OperatorClient.cpp
@@ -26,7 +26,7 @@
         request.headers = headers;
         request.body = body;
         request.timeoutMilliseconds = timeoutMilliseconds;
-        request.neverRepeat = method != "GET";
+        request.ownConnection = method != "GET";
         reply = HttpClient::exchange(request);
         const bool mayTryNext = reply.delivery == HttpDelivery::NotSent || (method == "GET" && reply.delivery != HttpDelivery::Complete);
         if (!mayTryNext) {
--- a/src/runtime/HttpExchange.cpp
+++ b/src/runtime/HttpExchange.cpp
@@ -50,6 +50,16 @@
     return size * count;
 }
 
+int HttpExchange::beforeSend(void *exchange, char *, char *, int, int)
+{
+    auto *self = static_cast<HttpExchange *>(exchange);
+    if (std::exchange(self->m_sent, true)) {
+        self->m_resendPrevented = true;
+        return CURL_PREREQFUNC_ABORT;
+    }
+    return CURL_PREREQFUNC_OK;
+}
+
 void HttpExchange::setOptions()
 {
     curl_easy_setopt(m_handle, CURLOPT_URL, m_request.url.c_str());
@@ -71,12 +81,14 @@
     if (m_request.freshConnection) {
         curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
     }
-    if (m_request.neverRepeat) {
-        // libcurl resends a request when a reused connection closes before the first byte of the response, although the server may
-        // already have executed it. On a fresh connection libcurl never resends.
+    if (m_request.ownConnection) {
         curl_easy_setopt(m_handle, CURLOPT_FRESH_CONNECT, 1L);
         curl_easy_setopt(m_handle, CURLOPT_FORBID_REUSE, 1L);
     }
+    if (!m_request.mayResend && m_request.method != "GET") {
+        curl_easy_setopt(m_handle, CURLOPT_PREREQFUNCTION, &HttpExchange::beforeSend);
+        curl_easy_setopt(m_handle, CURLOPT_PREREQDATA, this);
+    }
     m_headers = curl_slist_append(m_headers, "Expect:");
     for (const HttpHeader &header : m_request.headers) {
         m_headers = curl_slist_append(m_headers, (header.name + ": " + header.value).c_str());
@@ -110,7 +122,7 @@
 {
     m_reply.delivery = deliveryOf(code);
     if (code != CURLE_OK) {
-        m_reply.error = curl_easy_strerror(code);
+        m_reply.error = m_resendPrevented ? "connection closed before the response" : curl_easy_strerror(code);
         return std::move(m_reply);
     }
     long status = 0;
--- a/src/runtime/HttpExchange.h
+++ b/src/runtime/HttpExchange.h
@@ -42,6 +42,7 @@
 private:
     static std::size_t appendBody(char *data, std::size_t size, std::size_t count, void *target);
     static std::size_t readHeader(char *data, std::size_t size, std::size_t count, void *target);
+    static int beforeSend(void *exchange, char *remoteAddress, char *localAddress, int remotePort, int localPort);
     void setOptions();
     HttpDelivery deliveryOf(CURLcode code) const;
 
@@ -51,6 +52,8 @@
     HandlePool &m_pool;
     CURL *m_handle;
     curl_slist *m_headers = nullptr;
+    bool m_sent = false; // libcurl has begun to send the request
+    bool m_resendPrevented = false;
 };
 
 } // namespace banyanlock
--- a/src/runtime/HttpMessage.h
+++ b/src/runtime/HttpMessage.h
@@ -21,7 +21,10 @@
     std::string body; ///< Body; sent if it is not empty, and always for POST and PUT.
     long timeoutMilliseconds = 5000; ///< Timeout of the whole exchange.
     bool freshConnection = false; ///< Open a new connection, because idle ones may be dead without having been closed.
-    bool neverRepeat = false; ///< Use a fresh connection that is not reused, so that libcurl never resends the request.
+    bool ownConnection = false; ///< Use a fresh connection that is not reused, so that no idle one can be found dead while sending.
+    bool mayResend
+        = false; ///< Let libcurl resend the request when a reused connection closes before the first byte of the response, although
+                 ///< the server may have executed it; a refusal may then be that of the second copy. Always allowed for GET.
 };
 
 /// How an exchange ended.
--- a/standins/LoadTool.cpp
+++ b/standins/LoadTool.cpp
@@ -47,7 +47,8 @@
                        {"Content-Type", "text/plain"}};
     request.body = makeBody(options, number);
     request.timeoutMilliseconds = options.timeoutMilliseconds + 2000;
-    request.neverRepeat = !options.idempotent;
+    request.ownConnection = !options.idempotent;
+    request.mayResend = options.idempotent;
     return request;
 }
 
--- a/tests/runtime/HttpClientTest.cpp
+++ b/tests/runtime/HttpClientTest.cpp
@@ -8,13 +8,14 @@
 namespace
 {
 
-HttpRequest makeRequest(const RawServer &server, bool neverRepeat)
+HttpRequest makeRequest(const RawServer &server, bool idempotent)
 {
     HttpRequest request;
     request.method = "POST";
     request.url = server.url();
     request.body = "quote";
-    request.neverRepeat = neverRepeat;
+    request.ownConnection = !idempotent;
+    request.mayResend = idempotent;
     request.timeoutMilliseconds = 2000;
     return request;
 }
@@ -40,18 +41,29 @@
     // execution. A resent request would be executed twice.
     RawServer server({completeResponse, ""});
     HttpClient client(4);
-    BOOST_TEST(sendAndWait(client, makeRequest(server, true)).status == 200);
-    const HttpReply second = sendAndWait(client, makeRequest(server, true));
+    BOOST_TEST(sendAndWait(client, makeRequest(server, false)).status == 200);
+    const HttpReply second = sendAndWait(client, makeRequest(server, false));
     BOOST_TEST((second.delivery == HttpDelivery::Lost));
     BOOST_TEST(server.requests() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(requestOnReusedConnectionIsNotSentAgainUnlessAllowed)
+{
+    RawServer server({completeResponse, "", completeResponse});
+    HttpClient client(4);
+    HttpRequest request = makeRequest(server, false);
+    request.ownConnection = false;
+    sendAndWait(client, request);
+    BOOST_TEST((sendAndWait(client, request).delivery == HttpDelivery::Lost));
+    BOOST_TEST(server.requests() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(idempotentRequestMayBeSentAgainByTheLibrary)
 {
     RawServer server({completeResponse, "", completeResponse});
     HttpClient client(4);
-    sendAndWait(client, makeRequest(server, false));
-    const HttpReply second = sendAndWait(client, makeRequest(server, false));
+    sendAndWait(client, makeRequest(server, true));
+    const HttpReply second = sendAndWait(client, makeRequest(server, true));
     BOOST_TEST(second.status == 200);
     BOOST_TEST(server.requests() == 3);
 }
@@ -62,8 +74,8 @@
     // NotSent, since the server may have executed the request.
     RawServer server({completeResponse, RawServer::stopServer});
     HttpClient client(4);
-    sendAndWait(client, makeRequest(server, false));
-    const HttpReply second = sendAndWait(client, makeRequest(server, false));
+    sendAndWait(client, makeRequest(server, true));
+    const HttpReply second = sendAndWait(client, makeRequest(server, true));
     BOOST_TEST((second.delivery == HttpDelivery::Lost));
     BOOST_TEST(server.requests() == 2);
 }
@@ -72,7 +84,7 @@
 {
     RawServer server({"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nok"});
     HttpClient client(4);
-    BOOST_TEST((sendAndWait(client, makeRequest(server, true)).delivery == HttpDelivery::Truncated));
+    BOOST_TEST((sendAndWait(client, makeRequest(server, false)).delivery == HttpDelivery::Truncated));
 }
 
 BOOST_AUTO_TEST_CASE(refusedConnectionProvesThatNothingWasSent)
