Keep runs until the announced successor of their worker reports its own

What callers could see: a task runs twice after its agent restarted. A new process of the agent remembers no announcement, so the first that it hears may be a delayed one of an earlier worker. The owner took a status with another worker id as a proof that the worker of the run had ended, and placed the run again while it went on.

Evidence: delayedAnnouncementOfEarlierWorkerDoesNotEndRuns failed before (run over at once, run 2 started) and passes now.

The lists of the announced incarnation prove which one really answers: the worker refuses calls for another id, and lists of another start time are not applied. A successor under another id still ends the runs as soon as its lists are known, see the second test; one that never answers leaves them to the expiry of their lease.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -190,10 +190,12 @@
     const auto end = std::ranges::find(status.ends, member.run, &RunEnd::run);
     const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
     if (status.worker.incarnation != member.place.incarnation) {
-        const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
-        if (sameId && !status.runsKnown) {
-            return; // an order for the earlier incarnation may have reached the new one
+        if (!status.runsKnown) {
+            // An order for the earlier incarnation may have reached the new one, and a new process of the agent may have heard a delayed
+            // announcement of an incarnation that has ended.
+            return;
         }
+        const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
         if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
             member.ending = RunEnding::WorkerLost;
             return;
--- /dev/null
+++ b/tests/pool/RunEndTest.cpp
@@ -0,0 +1,154 @@
+#include "PoolWorld.h"
+#include "graph/GraphCodec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::uint64_t ownerEpoch = 5;
+const std::string agentName = "10.0.0.1:7000";
+const WorkerIncarnation workerIncarnation{"worker", 100};
+
+/// A scheduler that has acquired a pool with one agent; the tests answer its calls.
+struct Fixture {
+    GraphTable jobs;
+    OperatorView operators;
+    Counters counters;
+    PoolScheduler scheduler{jobs, operators, OperatorRows{"operators", "configuration", "out/"}, PoolTiming(), PlannerPolicy(), counters};
+    TimePoint now{std::chrono::seconds(1000)};
+    TimePoint lastRenewal{};
+    std::function<void(const CallAgent &)> onCall;
+
+    /// @param places Places of the run in progress; empty for a job that has not started.
+    void addJob(const StepSpec &step, const std::vector<TaskPlace> &places)
+    {
+        GraphRecord record;
+        record.spec = makeJob(step);
+        record.terms.service = "service";
+        jobs.adopt({std::string(PoolRows::table), "spec/job", 1, encodeGraphSpec(record), false}, false);
+        GraphProgress progress;
+        if (!places.empty()) {
+            progress.state = GraphState::Running;
+            progress.units[UnitKey()].run = 1;
+            progress.units[UnitKey()].places = places;
+        }
+        jobs.adopt({std::string(PoolRows::table), "job/job", 2, encodeGraphProgress(progress), false}, false);
+    }
+
+    /// Acquires the pool from an owner that has not released it.
+    void acquire()
+    {
+        scheduler.addAgent(agentName);
+        scheduler.acquireOwnership(ownerEpoch, false, now);
+    }
+
+    WorkerStatus makeStatus(std::uint64_t agentIncarnation, std::uint64_t number, bool runsKnown) const
+    {
+        WorkerStatus status;
+        status.agentIncarnation = agentIncarnation;
+        status.number = number;
+        status.clock = now;
+        status.highestEpoch = ownerEpoch;
+        status.runsKnown = runsKnown;
+        status.answering = runsKnown;
+        status.worker.incarnation = workerIncarnation;
+        status.worker.service = "service";
+        status.worker.capacity = {128000, 256000, 8};
+        status.worker.labels = {"kind", "rack"};
+        return status;
+    }
+
+    /// Advances the time in steps of 50 ms; calls are passed to `onCall`, or fail if there is none.
+    void run(Duration span)
+    {
+        const TimePoint end = now + span;
+        while (now < end) {
+            now += fromMilliseconds(50);
+            step();
+        }
+    }
+
+    void step()
+    {
+        scheduler.onTick();
+        scheduler.step(now, 0);
+        if (scheduler.takeBatch(now)) {
+            scheduler.onCommitted(now);
+            scheduler.step(now, 0);
+        }
+        for (const CallAgent &call : scheduler.takeCalls()) {
+            lastRenewal = call.request.renews ? now : lastRenewal;
+            if (onCall) {
+                onCall(call);
+            } else {
+                scheduler.onCallAnswered(call.agent, call.call, nullptr, now, now);
+            }
+        }
+    }
+
+    void answer(const CallAgent &call, const WorkerStatus &status)
+    {
+        scheduler.onCallAnswered(call.agent, call.call, &status, now, now);
+    }
+
+    /// @return Number of the latest run of the job's task.
+    std::uint32_t latestRun()
+    {
+        return jobs.find("job")->progress.units[UnitKey()].run;
+    }
+
+    bool isRunOver() const
+    {
+        return scheduler.units().empty();
+    }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(RunEndTest, Fixture)
+
+BOOST_AUTO_TEST_CASE(delayedAnnouncementOfEarlierWorkerDoesNotEndRuns)
+{
+    // A new process of the agent hears a delayed announcement of an earlier worker first.
+    addJob(makeStep(1, 1, 60000), {{workerIncarnation, agentName}});
+    acquire();
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, 1, false);
+        status.worker.incarnation = {"earlier", 90};
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST(!isRunOver());
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, 2, true);
+        status.runs = {{{{"job", 0, 0, 0}, 1}, false, {}}};
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST(!isRunOver());
+    BOOST_TEST(latestRun() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(runsAreOverOnceSuccessorUnderOtherIdReportsItsRuns)
+{
+    addJob(makeStep(1, 1, 60000), {{workerIncarnation, agentName}});
+    acquire();
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, 1, true);
+        status.worker.incarnation = {"later", 110};
+        status.worker.draining = true;
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST(isRunOver());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace banyanlock
