Drop lists of the same millisecond that may be older than the applied ones

What callers could see: a task runs twice. The worker's clock counts milliseconds. An answer made before a start and lists that show the run may carry the same value; if the former's request was sent later but its answer arrived last, it replaced the lists. The confirmation of the start had been dropped when the run was listed, so the status omitted the run, and the owner concluded that it had ended.

Evidence: listsOfTheSameMillisecondDoNotHideRun failed before and passes now.

With an equal clock, only a request that was sent after the receipt of the applied lists is known to have been executed later. Dropped lists no longer raise the epoch of the applied ones unless the clock shows that those are later; listsOfTheSameMillisecondAreNotTakenForThoseOfLaterEpoch fails if only the first half of this change is made.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -45,7 +45,6 @@
     m_renewalEpoch = 0;
     m_nextRenewal = TimePoint();
     m_clockAtAnswer = Duration();
-    m_listsRequestedAt = TimePoint();
     m_runs.clear();
     m_ends.clear();
     m_acknowledgedEnd = 0;
@@ -282,11 +281,13 @@
         m_nextRenewal = now + m_timing.retryInterval;
         return;
     }
-    if (action.epoch > m_renewalEpoch) {
+    const bool outdated = areOutdated(*lists, action.sentAt);
+    // The applied lists are later than the call only if the worker's clock shows it.
+    if (action.epoch > m_renewalEpoch && (!outdated || lists->clock < m_clockAtAnswer)) {
         m_renewalEpoch = action.epoch;
         markChanged();
     }
-    if (!areOutdated(*lists, action.sentAt)) {
+    if (!outdated) {
         applyLists(*lists, action.sentAt, now);
     }
     m_nextRenewal = m_ends.empty() ? now : now + m_timing.retryInterval;
@@ -294,14 +295,14 @@
 
 bool WorkerSupervisor::areOutdated(const WorkerLists &lists, TimePoint sentAt) const
 {
-    // Answers on different connections may arrive out of order.
-    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt < m_listsRequestedAt));
+    // Answers on different connections may arrive out of order. The worker's clock counts milliseconds, so with the same value only a
+    // request sent after the receipt of the applied lists is known to have been executed later.
+    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt <= m_listsReceivedAt));
 }
 
 void WorkerSupervisor::applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now)
 {
     m_clockAtAnswer = lists.clock;
-    m_listsRequestedAt = sentAt;
     m_listsReceivedAt = now;
     std::erase_if(m_confirmed, [&](const auto &entry) {
         return entry.second < sentAt;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -212,7 +212,6 @@
     bool m_leaseExpired = false;
     TimePoint m_nextRenewal{};
     Duration m_clockAtAnswer{};
-    TimePoint m_listsRequestedAt{}; // when the applied lists were requested
     TimePoint m_listsReceivedAt{};
     std::vector<RunReport> m_runs;
     std::vector<RunEnd> m_ends;
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -1,5 +1,6 @@
 #include "pool/WorkerSupervisor.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 #include <variant>
@@ -192,6 +193,58 @@
     BOOST_TEST(isRunReported());
 }
 
+BOOST_AUTO_TEST_CASE(listsOfTheSameMillisecondDoNotHideRun)
+{
+    // The worker answers a poll before it executes the start, but within the millisecond of newer lists, which arrive first.
+    supervisor.step(now);
+    std::optional<RenewWorker> poll;
+    for (const SupervisorAction &action : supervisor.takeActions()) {
+        if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+            poll = *renewal;
+        } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
+            supervisor.onStarted(*start, OrderOutcome::Done, "", now);
+        }
+    }
+    BOOST_REQUIRE(poll.has_value());
+    WorkerLists newer;
+    newer.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+    newer.clock = fromMilliseconds(20);
+    newer.runs = {{firstRun, false, {}}};
+    supervisor.onLists(*poll, {newer, false}, now + fromMilliseconds(2));
+    RenewWorker other = *poll;
+    other.sentAt = now + fromMilliseconds(1);
+    WorkerLists older = newer;
+    older.runs.clear();
+    supervisor.onLists(other, {older, false}, now + fromMilliseconds(3));
+    BOOST_TEST(isRunReported());
+}
+
+BOOST_AUTO_TEST_CASE(listsOfTheSameMillisecondAreNotTakenForThoseOfLaterEpoch)
+{
+    // Lists that were made before the worker heard of a new owner don't prove that it refuses the starts of the earlier one.
+    supervisor.step(now);
+    std::optional<RenewWorker> poll;
+    for (const SupervisorAction &action : supervisor.takeActions()) {
+        if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+            poll = *renewal;
+        }
+    }
+    BOOST_REQUIRE(poll.has_value());
+    WorkerLists lists;
+    lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+    lists.clock = fromMilliseconds(20);
+    supervisor.onLists(*poll, {lists, false}, now + fromMilliseconds(2));
+    RenewWorker ofNewOwner = *poll;
+    ofNewOwner.epoch = 2;
+    ofNewOwner.sentAt = now + fromMilliseconds(1);
+    const RunName ofEarlierOwner{{"job", 0, 0, 9}, 1};
+    lists.runs = {{ofEarlierOwner, false, {}}};
+    supervisor.onLists(ofNewOwner, {lists, false}, now + fromMilliseconds(3));
+    const WorkerStatus status = supervisor.status(now, 0);
+    const bool reported = std::ranges::count(status.runs, ofEarlierOwner, &RunReport::run) != 0;
+    BOOST_TEST((reported || status.runsKnownEpoch < 2));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
