Count start deadlines when the expiry of a worker's lease is assumed

What callers could see: a task runs twice. A worker that does not answer is taken to have stopped everything one lease after the last renewal. A start extends the lease of everything on the worker up to its deadline, and may take effect until then, but was not counted: after a pause in the owner's renewals, the agent reported the lease as expired while a start that it had just sent was in flight, and forgot that start.

Evidence: leaseIsNotTakenForExpiredWhileStartMayStillTakeEffect failed before at each step up to the deadline and passes now.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -198,6 +198,7 @@
         refuseStart(order.run, "worker may have restarted");
     } else {
         Log::info("task_start_ordered", {{"run", describe(order.run)}, {"epoch", static_cast<std::int64_t>(m_epoch)}});
+        m_leaseSentAt = std::max(m_leaseSentAt, order.startBy - m_timing.lease); // the deadline of a start also extends the lease
         sendStart(m_starts[order.run] = {order}, now);
     }
 }
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -204,7 +204,7 @@
     bool m_pollImmediately = false; // requests newer lists at once, in addition to a waiting request
     std::uint64_t m_renewalEpoch = 0; // highest epoch that the worker is guaranteed to have seen
     TimePoint m_renewalSentAt{};
-    TimePoint m_leaseSentAt{}; // when the last renewal of the lease was sent, answered or not
+    TimePoint m_leaseSentAt{}; // the lease, extended by renewals and starts, ends at most its duration later, answered or not
     bool m_silent = false;
     bool m_connectionRefused = false;
     bool m_incarnationUncertain = false; // the worker has probably restarted but not announced it yet
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -245,6 +245,43 @@
     BOOST_TEST((reported || status.runsKnownEpoch < 2));
 }
 
+BOOST_AUTO_TEST_CASE(leaseIsNotTakenForExpiredWhileStartMayStillTakeEffect)
+{
+    // A start extends the lease of everything on the worker up to its deadline.
+    supervisor.step(now);
+    std::optional<RenewWorker> poll;
+    for (const SupervisorAction &action : supervisor.takeActions()) {
+        if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+            poll = *renewal;
+        }
+    }
+    BOOST_REQUIRE(poll.has_value());
+    const SupervisorTiming timing;
+    const TimePoint lastLists = now + timing.lease - fromMilliseconds(1000);
+    WorkerLists lists;
+    lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+    lists.clock = lastLists - now;
+    supervisor.onLists(*poll, {lists, false}, lastLists); // later renewals carry no lease, since the owner is out of contact
+    now = lastLists + timing.silenceTimeout - fromMilliseconds(100);
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.validUntil = now + fromMilliseconds(1000);
+    request.batch = 2;
+    TaskOrder order;
+    order.run = {{"job", 0, 0, 1}, 1};
+    order.incarnation = workerIncarnation;
+    order.startBy = now + fromMilliseconds(1500);
+    request.orders = {order};
+    supervisor.onSupervise(request, now);
+    BOOST_REQUIRE_EQUAL(takeStarts().size(), 1U);
+    while (now < order.startBy) {
+        supervisor.step(now);
+        supervisor.takeActions();
+        BOOST_TEST(!supervisor.status(now, 0).leaseExpired);
+        now += fromMilliseconds(100);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
