Refuse starts while the worker's lists are older than the silence timeout

What callers could see: a task runs twice. Calls of the owner are handled before the agent checks how long its worker has been silent, so after a suspension a start was sent, and the same step found the lease expired and reported the run as over while its start was in flight. The deadline of such a start was also computed from a reading of the worker's clock that was as old as the lists.

Evidence: startIsRefusedWhileListsAreOutdated failed before (the start was sent) and passes now.

The owner places nothing on a worker that is reported as silent, so the refusal concerns only orders that cross that report.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -194,6 +194,8 @@
         refuseStart(order.run, "agent is stopping");
     } else if (!m_runsKnown) {
         refuseStart(order.run, "worker has not reported its runs yet");
+    } else if (!isAnswering(now)) {
+        refuseStart(order.run, "worker does not answer"); // its clock and its lease are not known well enough
     } else if (m_incarnationUncertain) {
         refuseStart(order.run, "worker may have restarted");
     } else {
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -245,6 +245,23 @@
     BOOST_TEST((reported || status.runsKnownEpoch < 2));
 }
 
+BOOST_AUTO_TEST_CASE(startIsRefusedWhileListsAreOutdated)
+{
+    now += SupervisorTiming().silenceTimeout + fromMilliseconds(1);
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.validUntil = now + fromMilliseconds(1000);
+    request.batch = 2;
+    TaskOrder order;
+    order.run = {{"job", 0, 0, 1}, 1};
+    order.incarnation = workerIncarnation;
+    order.startBy = now + fromMilliseconds(1500);
+    request.orders = {order};
+    takeStarts();
+    supervisor.onSupervise(request, now);
+    BOOST_TEST(takeStarts().empty());
+}
+
 BOOST_AUTO_TEST_CASE(leaseIsNotTakenForExpiredWhileStartMayStillTakeEffect)
 {
     // A start extends the lease of everything on the worker up to its deadline.
