Keep a run whose start is in flight when its worker's lease has expired

What callers could see: a task runs twice. A status that reports an expired lease ends all runs of the worker. A start that the owner sent before it received that status may reach the agent after the worker has answered again; it was then executed, while the owner had already placed the task elsewhere.

Evidence: expiredLeaseDoesNotEndRunWhoseStartIsInFlight failed before (run over) and passes now.

An unconfirmed run now ends with the lease only if the agent has applied the batch of its start, or if the status was requested after the start has expired.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -217,15 +217,19 @@
         }
         return;
     }
+    const bool orderApplied
+        = member.batch != 0 && status.agentIncarnation == member.agentIncarnation && status.lastOrderBatch >= member.batch;
+    const bool startExpired = worker.statusRequestedAt > member.startExpiredAt;
     if (status.leaseExpired) {
-        member.ending = RunEnding::LeaseExpired;
+        // A start that has not reached the agent may still take effect there.
+        if (member.batch == 0 || member.confirmed || orderApplied || startExpired) {
+            member.ending = RunEnding::LeaseExpired;
+        }
         return;
     }
     // The worker refuses starts of earlier owners that it had not executed when it reported its runs.
     const bool fenced = member.batch == 0 && status.runsKnownEpoch >= m_epoch;
-    const bool orderApplied
-        = member.batch != 0 && status.agentIncarnation == member.agentIncarnation && status.lastOrderBatch >= member.batch;
-    if (status.runsKnown && (fenced || orderApplied || worker.statusRequestedAt > member.startExpiredAt)) {
+    if (status.runsKnown && (fenced || orderApplied || startExpired)) {
         member.ending = member.confirmed ? RunEnding::LeaseExpired : RunEnding::NeverStarted;
         Log::info("run_not_reported", {{"run", describe(member.run)}, {"worker", member.place.incarnation.worker}});
     }
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -149,6 +149,33 @@
     BOOST_TEST(isRunOver());
 }
 
+BOOST_AUTO_TEST_CASE(expiredLeaseDoesNotEndRunWhoseStartIsInFlight)
+{
+    addJob(makeStep(1, 1, 60000), {});
+    acquire();
+    onCall = [&](const CallAgent &call) {
+        answer(call, makeStatus(1, 1, true));
+    };
+    bool ordered = false;
+    while (!ordered) {
+        const auto answerCall = [&](const CallAgent &call) {
+            if (!call.request.orders.empty()) {
+                ordered = true; // stays in flight
+                return;
+            }
+            WorkerStatus status = makeStatus(1, ordered ? 2 : 1, !ordered);
+            status.leaseExpired = ordered;
+            answer(call, status);
+        };
+        onCall = answerCall;
+        step();
+        now += fromMilliseconds(50);
+    }
+    run(fromMilliseconds(300));
+    BOOST_TEST(latestRun() == 1U);
+    BOOST_TEST(!isRunOver());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
