--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -190,10 +190,12 @@
     const auto end = std::ranges::find(status.ends, member.run, &RunEnd::run);
     const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
     if (status.worker.incarnation != member.place.incarnation) {
-        const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
-        if (sameId && !status.runsKnown) {
-            return; // an order for the earlier incarnation may have reached the new one
+        if (!status.runsKnown) {
+            // An order for the earlier incarnation may have reached the new one, and a new process of the agent may have heard a delayed
+            // announcement of an incarnation that has ended.
+            return;
         }
+        const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
         if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
             member.ending = RunEnding::WorkerLost;
             Log::info("run_lost_with_worker",
@@ -222,15 +224,19 @@
         }
         return;
     }
+    const bool orderApplied
+        = member.batch != 0 && status.agentIncarnation == member.agentIncarnation && status.lastOrderBatch >= member.batch;
+    const bool startExpired = worker.statusRequestedAt > member.startExpiredAt;
     if (status.leaseExpired) {
-        member.ending = RunEnding::LeaseExpired;
+        // A start that has not reached the agent may still take effect there.
+        if (member.batch == 0 || member.confirmed || orderApplied || startExpired) {
+            member.ending = RunEnding::LeaseExpired;
+        }
         return;
     }
     // The worker refuses starts of earlier owners that it had not executed when it reported its runs.
     const bool fenced = member.batch == 0 && status.runsKnownEpoch >= m_epoch;
-    const bool orderApplied
-        = member.batch != 0 && status.agentIncarnation == member.agentIncarnation && status.lastOrderBatch >= member.batch;
-    if (status.runsKnown && (fenced || orderApplied || worker.statusRequestedAt > member.startExpiredAt)) {
+    if (status.runsKnown && (fenced || orderApplied || startExpired)) {
         member.ending = member.confirmed ? RunEnding::LeaseExpired : RunEnding::NeverStarted;
         Log::info("run_not_reported",
                   {{"run", describe(member.run)},
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -45,7 +45,6 @@
     m_renewalEpoch = 0;
     m_nextRenewal = TimePoint();
     m_clockAtAnswer = Duration();
-    m_listsRequestedAt = TimePoint();
     m_runs.clear();
     m_ends.clear();
     m_acknowledgedEnd = 0;
@@ -195,10 +194,13 @@
         refuseStart(order.run, "agent is stopping");
     } else if (!m_runsKnown) {
         refuseStart(order.run, "worker has not reported its runs yet");
+    } else if (!isAnswering(now)) {
+        refuseStart(order.run, "worker does not answer"); // its clock and its lease are not known well enough
     } else if (m_incarnationUncertain) {
         refuseStart(order.run, "worker may have restarted");
     } else {
         Log::info("task_start_ordered", {{"run", describe(order.run)}, {"epoch", static_cast<std::int64_t>(m_epoch)}});
+        m_leaseSentAt = std::max(m_leaseSentAt, order.startBy - m_timing.lease); // the deadline of a start also extends the lease
         sendStart(m_starts[order.run] = {order}, now);
     }
 }
@@ -291,11 +293,13 @@
         m_nextRenewal = now + m_timing.retryInterval;
         return;
     }
-    if (action.epoch > m_renewalEpoch) {
+    const bool outdated = areOutdated(*lists, action.sentAt);
+    // The applied lists are later than the call only if the worker's clock shows it.
+    if (action.epoch > m_renewalEpoch && (!outdated || lists->clock < m_clockAtAnswer)) {
         m_renewalEpoch = action.epoch;
         markChanged();
     }
-    if (!areOutdated(*lists, action.sentAt)) {
+    if (!outdated) {
         applyLists(*lists, action.sentAt, now);
     }
     m_nextRenewal = m_ends.empty() ? now : now + m_timing.retryInterval;
@@ -303,14 +307,14 @@
 
 bool WorkerSupervisor::areOutdated(const WorkerLists &lists, TimePoint sentAt) const
 {
-    // Answers on different connections may arrive out of order.
-    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt < m_listsRequestedAt));
+    // Answers on different connections may arrive out of order. The worker's clock counts milliseconds, so with the same value only a
+    // request sent after the receipt of the applied lists is known to have been executed later.
+    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt <= m_listsReceivedAt));
 }
 
 void WorkerSupervisor::applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now)
 {
     m_clockAtAnswer = lists.clock;
-    m_listsRequestedAt = sentAt;
     m_listsReceivedAt = now;
     std::erase_if(m_confirmed, [&](const auto &entry) {
         return entry.second < sentAt;
