Fence each agent process and worker incarnation

Callers could see a task running twice and a worker given more than its room.

Cause: calls name a worker by its id only. A worker that restarts under its id has seen no fencing token and its clock begins anew, so orders for its earlier incarnation fit: the owner's epoch is not lower and the deadline is far ahead. The agent closed such starts from memory, for 13 s and for the same id only; a new process of the agent has no memory, and renewals in flight, which acknowledge ends by number and extend the lease, were not closed at all.

Fix: the token of an order is no longer the owner's epoch. Each process of the agent draws its tokens from the version of the row by which it registers itself, which is higher than that of every earlier process, and raises the token for a new owner, a new incarnation of the worker and an unanswered poll. Lists that answer a raised token prove that whatever was sent under a lower one is listed or will be refused; the owner takes a run as lost with an incarnation only after such lists, and the agent starts nothing before. The memory of sent starts goes. The owner returns the last token to a restarted agent, so leases are renewed also while the table service is down. After a broken connection no start is sent until the worker has answered again.

--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -45,6 +45,7 @@
         request.knownStatus = worker.status.number;
         request.acknowledgedIncarnation = worker.status.worker.incarnation;
         request.acknowledgedEnd = worker.recordedEnd;
+        request.workerFence = worker.fencedIncarnation == worker.status.worker.incarnation ? worker.workerFence : 0;
         request.wait = waits ? pollWait() : Duration();
         if (!worker.orders.empty()) {
             request.orders = std::exchange(worker.orders, {});
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -89,6 +89,10 @@
         worker.lastAgentRenewal = std::max(worker.lastAgentRenewal, worker.lastRenewalSent);
     }
     worker.status = *status;
+    if (status->workerFence != 0) {
+        worker.workerFence = status->workerFence;
+        worker.fencedIncarnation = status->worker.incarnation;
+    }
     worker.statusRequestedAt = sentAt;
     worker.statusReceivedAt = now;
     if (isUpdate) {
@@ -190,12 +194,12 @@
     const auto end = std::ranges::find(status.ends, member.run, &RunEnd::run);
     const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
     if (status.worker.incarnation != member.place.incarnation) {
-        if (!status.runsKnown) {
+        const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
+        if (!status.runsKnown || (sameId && status.unfenced)) {
             // An order for the earlier incarnation may have reached the new one, and a new process of the agent may have heard a delayed
             // announcement of an incarnation that has ended.
             return;
         }
-        const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
         if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
             member.ending = RunEnding::WorkerLost;
             Log::info("run_lost_with_worker",
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -101,8 +101,8 @@
 
 bool PoolScheduler::isUsable(const PoolWorker &worker, TimePoint now) const
 {
-    return worker.known && worker.status.answering && !worker.status.connectionRefused && !worker.status.agentStopping
-        && !worker.status.worker.draining && !isSilent(worker, now) && now >= worker.quarantinedUntil
+    return worker.known && worker.status.answering && !worker.status.unfenced && !worker.status.connectionRefused
+        && !worker.status.agentStopping && !worker.status.worker.draining && !isSilent(worker, now) && now >= worker.quarantinedUntil
         && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
 }
 
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -25,6 +25,8 @@
     std::vector<TaskOrder> orders; ///< Orders that are not sent yet.
     std::uint64_t processedEnd = 0; ///< Ends up to and including this number are applied to the jobs.
     std::uint64_t recordedEnd = 0; ///< Ends up to and including this number are recorded in the table service.
+    std::uint64_t workerFence = 0; ///< Latest fencing token that an agent process has used for `fencedIncarnation`.
+    WorkerIncarnation fencedIncarnation; ///< Incarnation of the worker that `workerFence` was used for.
     std::uint32_t consecutiveFailures = 0; ///< Failed tasks since the last successful one.
     TimePoint suspectedUntil{}; ///< Other workers are preferred until this time.
     TimePoint quarantinedUntil{}; ///< No task is placed on the worker until this time.
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -83,6 +83,9 @@
     bool runsKnown = false; ///< The worker's current incarnation has reported its runs.
     std::uint64_t runsKnownEpoch
         = 0; ///< Epoch that the worker is guaranteed to have seen when it reported its runs; it refuses orders of earlier owners.
+    bool unfenced = false; ///< The lists do not prove that the worker refuses the orders of earlier agent processes, or those that were
+                           ///< sent to its earlier incarnations.
+    std::uint64_t workerFence = 0; ///< Fencing token of the agent's orders to the worker; zero if it sends none.
     bool answering = false; ///< The worker has responded to its agent within the silence timeout.
     bool leaseExpired = false; ///< The worker did not respond until its lease expired, so nothing runs on it any more.
     bool connectionRefused = false; ///< The worker's address refuses connections.
@@ -118,6 +121,7 @@
     std::vector<TaskOrder> orders; ///< Orders of the batch.
     WorkerIncarnation acknowledgedIncarnation; ///< Incarnation of the worker whose ends are acknowledged.
     std::uint64_t acknowledgedEnd = 0; ///< Ends up to and including this number are recorded.
+    std::uint64_t workerFence = 0; ///< Latest fencing token used for that incarnation, as far as the owner knows; zero if unknown.
     std::uint64_t knownIncarnation = 0; ///< Agent incarnation of the latest status that the owner has.
     std::uint64_t knownStatus = 0; ///< Version of the latest status that the owner has.
     Duration wait{}; ///< Maximum time to wait for a newer status.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -15,6 +15,9 @@
 constexpr std::array<const char *, 8> endingNames{"succeeded",     "failed",       "stopped",       "lease_lapsed",
                                                   "partner_ended", "waited_alone", "never_started", "worker_gone"};
 
+// Fencing tokens of one registration: one for each owner, each incarnation of the worker and each unanswered poll.
+constexpr std::uint64_t fencesPerRegistration = 4096;
+
 // Enough for the owner to see each reason once between two of its calls.
 constexpr std::size_t maxRefusals = 16;
 
@@ -52,6 +55,32 @@
     m_confirmed.clear();
     m_stops.clear();
     m_closed.clear();
+    raiseFence();
+    m_firstFence = m_fence;
+    m_provenFence = 0;
+}
+
+void WorkerSupervisor::onRegistered(std::uint64_t rowVersion)
+{
+    m_registered = true;
+    m_fence = std::max(m_fence + 1, rowVersion * fencesPerRegistration);
+    m_fenceLimit = (rowVersion + 1) * fencesPerRegistration;
+    m_firstFence = m_fence;
+    m_pollImmediately = m_renewalInFlight;
+    m_nextRenewal = TimePoint();
+    Log::info("fence_adopted",
+              {{"agent_process", static_cast<std::int64_t>(m_incarnation)}, {"fence", static_cast<std::int64_t>(m_fence)}});
+    markChanged();
+}
+
+void WorkerSupervisor::raiseFence()
+{
+    if (!m_registered) {
+        return;
+    }
+    ++m_fence;
+    m_registered = m_fence < m_fenceLimit;
+    markChanged();
 }
 
 bool WorkerSupervisor::onAnnouncement(const WorkerAnnouncement &announcement)
@@ -75,11 +104,6 @@
                        {"earlier_worker", known.worker},
                        {"earlier_born", known.startedUnixMilliseconds}});
             resetIncarnationState();
-            // Calls name only the worker's id, so orders for the earlier incarnation may have reached the new one or still may.
-            m_closesEarlierOrders = announcement.incarnation.worker == known.worker;
-            if (!m_closesEarlierOrders) {
-                m_sentStarts.clear();
-            }
         }
     }
     WorkerAnnouncement previous = m_worker.value_or(WorkerAnnouncement());
@@ -119,10 +143,15 @@
         Log::info("owner_adopted",
                   {{"epoch", static_cast<std::int64_t>(request.epoch)}, {"earlier_epoch", static_cast<std::int64_t>(m_epoch)}});
         m_epoch = request.epoch;
+        raiseFence(); // the worker refuses what was sent for earlier owners
         m_lastOrderBatch = 0;
         m_nextRenewal = now;
         markChanged();
     }
+    if (!m_registered && m_worker && request.acknowledgedIncarnation == m_worker->incarnation && request.workerFence > m_fence) {
+        m_fence = request.workerFence; // suffices to renew the lease of what an earlier process has started
+        m_nextRenewal = now;
+    }
     const bool valid = now <= request.validUntil;
     if (request.renews && valid) {
         if (!m_hasOwnerContact || now - m_ownerContact > m_timing.lease / 2) {
@@ -196,6 +225,8 @@
         refuseStart(order.run, "worker has not reported its runs yet");
     } else if (!isAnswering(now)) {
         refuseStart(order.run, "worker does not answer"); // its clock and its lease are not known well enough
+    } else if (!isFenced()) {
+        refuseStart(order.run, "worker has not confirmed the agent's fencing token yet");
     } else if (m_incarnationUncertain) {
         refuseStart(order.run, "worker may have restarted");
     } else {
@@ -210,10 +241,6 @@
     const TaskOrder &order = pending.order;
     pending.outstanding = true;
     ++pending.attempts;
-    std::erase_if(m_sentStarts, [&](const auto &sent) {
-        return now - sent.second.second > m_timing.maxOrderDelay;
-    });
-    m_sentStarts[order.run] = {order, now};
     const Duration startBy = workerClock(now) + (order.startBy - now);
     Log::info("task_start_sent",
               {{"run", describe(order.run)},
@@ -221,32 +248,17 @@
                {"born", order.incarnation.startedUnixMilliseconds},
                {"agent_process", static_cast<std::int64_t>(m_incarnation)},
                {"epoch", static_cast<std::int64_t>(m_epoch)},
+               {"fence", static_cast<std::int64_t>(m_fence)},
                {"worker_clock_deadline_ms", toMilliseconds(startBy)},
                {"lists_age_ms", toMilliseconds(now - m_listsReceivedAt)},
                {"attempt", static_cast<std::int64_t>(pending.attempts)}});
-    m_actions.emplace_back(StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, startBy});
-}
-
-void WorkerSupervisor::carryOverOrders(TimePoint now)
-{
-    for (auto &[run, sent] : std::exchange(m_sentStarts, {})) {
-        if (isListed(run) || now - sent.second > m_timing.maxOrderDelay) {
-            continue;
-        }
-        // A confirmed stop bars the run permanently. Without a confirmation, the earlier start may arrive until the maximum order delay
-        // has passed.
-        TaskOrder order = std::move(sent.first);
-        order.incarnation = m_worker->incarnation;
-        order.startBy = sent.second + m_timing.maxOrderDelay;
-        m_starts[run] = {std::move(order), false, now, 0};
-        beginStop(run, m_worker->incarnation, now);
-    }
+    m_actions.emplace_back(StartTask{order.run, order.incarnation, m_epoch, m_fence, order.payload, order.checkpoint, startBy});
 }
 
 bool WorkerSupervisor::canRetryStart(const PendingOrder &pending, const StartTask &action, TimePoint now) const
 {
     return pending.attempts < m_timing.maxOrderAttempts && action.epoch == m_epoch && now < pending.order.startBy && !m_worker->draining
-        && !m_stopping && !m_closed.contains(action.run);
+        && !m_incarnationUncertain && !m_stopping && !m_closed.contains(action.run);
 }
 
 void WorkerSupervisor::beginStop(const RunName &run, const WorkerIncarnation &incarnation, TimePoint now)
@@ -283,21 +295,16 @@
     }
     const std::optional<WorkerLists> &lists = answer.lists;
     const bool otherIncarnation = lists && lists->startedUnixMilliseconds != m_worker->incarnation.startedUnixMilliseconds;
-    if (answer.refused || lists) {
-        m_incarnationUncertain = answer.refused || otherIncarnation;
-    }
     m_endNumbersUncertain = !lists || otherIncarnation; // a restarting worker drops its connections
-    if (!lists || otherIncarnation) {
-        m_pollImmediately = m_pollImmediately
-            || (m_runsKnown && action.wait == Duration::zero()); // the state that this request was to show is still unknown
-        m_nextRenewal = now + m_timing.retryInterval;
+    if (m_endNumbersUncertain) {
+        onListsLost(action, answer, otherIncarnation, now);
         return;
     }
+    m_incarnationUncertain = false;
     const bool outdated = areOutdated(*lists, action.sentAt);
     // The applied lists are later than the call only if the worker's clock shows it.
-    if (action.epoch > m_renewalEpoch && (!outdated || lists->clock < m_clockAtAnswer)) {
-        m_renewalEpoch = action.epoch;
-        markChanged();
+    if (!outdated || lists->clock < m_clockAtAnswer) {
+        recordProof(action);
     }
     if (!outdated) {
         applyLists(*lists, action.sentAt, now);
@@ -305,6 +312,27 @@
     m_nextRenewal = m_ends.empty() ? now : now + m_timing.retryInterval;
 }
 
+void WorkerSupervisor::onListsLost(const RenewWorker &action, const RenewalAnswer &answer, bool otherIncarnation, TimePoint now)
+{
+    m_incarnationUncertain = m_incarnationUncertain || answer.refused || answer.disconnected || otherIncarnation;
+    if (action.fence == m_fence && !answer.refused) {
+        raiseFence(); // a worker that has restarted may still execute what was sent to its earlier incarnation
+    }
+    m_pollImmediately
+        = m_pollImmediately || (m_runsKnown && action.wait == Duration::zero()); // the state that this request was to show is still unknown
+    m_nextRenewal = now + m_timing.retryInterval;
+}
+
+void WorkerSupervisor::recordProof(const RenewWorker &action)
+{
+    const bool wasFenced = isFenced();
+    m_provenFence = std::max(m_provenFence, action.fence);
+    if (action.epoch > m_renewalEpoch || wasFenced != isFenced()) {
+        m_renewalEpoch = std::max(m_renewalEpoch, action.epoch);
+        markChanged();
+    }
+}
+
 bool WorkerSupervisor::areOutdated(const WorkerLists &lists, TimePoint sentAt) const
 {
     // Answers on different connections may arrive out of order. The worker's clock counts milliseconds, so with the same value only a
@@ -353,9 +381,6 @@
                    {"ends", static_cast<std::int64_t>(m_ends.size())}});
     }
     m_runsKnown = true;
-    if (std::exchange(m_closesEarlierOrders, false)) {
-        carryOverOrders(now);
-    }
     closeExpiredStarts(sentAt);
     if (isUpdate) {
         markChanged();
@@ -502,7 +527,7 @@
 
 void WorkerSupervisor::sendRenewal(TimePoint now)
 {
-    if (!m_worker || m_epoch == 0 || now < m_nextRenewal) {
+    if (!m_worker || m_epoch == 0 || m_fence == 0 || now < m_nextRenewal) {
         return;
     }
     if (m_renewalInFlight && !m_pollImmediately && m_renewalEpoch >= m_epoch
@@ -514,6 +539,7 @@
     }
     RenewWorker renewal;
     renewal.epoch = m_epoch;
+    renewal.fence = m_fence;
     renewal.acknowledgedEnd = m_endNumbersUncertain ? 0 : m_acknowledgedEnd;
     renewal.incarnation = m_worker->incarnation;
     const Duration sinceContact = now - m_ownerContact;
@@ -521,7 +547,7 @@
         renewal.leaseEnd = workerClock(now) + m_timing.lease - sinceContact;
         m_leaseSentAt = now;
     }
-    const bool waits = m_runsKnown && !m_pollImmediately && m_ends.empty() && m_renewalEpoch >= m_epoch;
+    const bool waits = m_runsKnown && !m_pollImmediately && m_ends.empty() && m_renewalEpoch >= m_epoch && (isFenced() || !m_registered);
     m_pollImmediately = false;
     renewal.wait = waits ? m_timing.pollWait : Duration();
     renewal.sentAt = now;
@@ -549,9 +575,9 @@
                   {{"run", describe(run)},
                    {"worker", pending.order.incarnation.worker},
                    {"born", pending.order.incarnation.startedUnixMilliseconds},
-                   {"epoch", static_cast<std::int64_t>(m_epoch)},
+                   {"fence", static_cast<std::int64_t>(m_fence)},
                    {"attempt", static_cast<std::int64_t>(pending.attempts)}});
-        m_actions.emplace_back(StopTask{run, pending.order.incarnation, m_epoch});
+        m_actions.emplace_back(StopTask{run, pending.order.incarnation, m_fence});
     }
     for (const RunName &run : finished) {
         m_stops.erase(run);
@@ -568,7 +594,7 @@
 TimePoint WorkerSupervisor::nextStep(TimePoint now) const
 {
     TimePoint next = now + m_timing.pollWait + m_timing.answerMargin;
-    if (m_worker && m_epoch != 0) {
+    if (m_worker && m_epoch != 0 && m_fence != 0) {
         next = std::min(next, std::max(m_nextRenewal, now + fromMilliseconds(1)));
         if (m_renewalInFlight && m_renewalEpoch < m_epoch) {
             next = std::min(next, std::max(m_renewalSentAt + m_timing.retryInterval, now + fromMilliseconds(1)));
@@ -598,7 +624,9 @@
     status.highestEpoch = m_epoch;
     status.lastOrderBatch = m_lastOrderBatch;
     status.runsKnown = m_runsKnown;
-    status.runsKnownEpoch = m_runsKnown ? m_renewalEpoch : 0;
+    status.runsKnownEpoch = m_runsKnown && isFenced() ? m_renewalEpoch : 0;
+    status.unfenced = !isFenced();
+    status.workerFence = m_fence;
     status.answering = m_runsKnown && !m_silent;
     status.leaseExpired = m_leaseExpired;
     status.connectionRefused = m_connectionRefused;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -28,7 +28,6 @@
     Duration leaseSlack = fromMilliseconds(320); ///< Margin for a worker's clock that runs up to 2 % slow and for late timers.
     Duration fastRetryInterval
         = fromMilliseconds(30); ///< Delay before the first retries of an unanswered stop; ten times the usual response time.
-    Duration maxOrderDelay = fromMilliseconds(13000); ///< Maximum time that an order may be in flight; some arrive 12 s late.
     std::uint32_t maxOrderAttempts = 4; ///< Maximum sends of a start, and of a stop at the fast interval; even with a third of messages
                                         ///< lost, four in a row rarely are.
     Duration answerMargin = fromMilliseconds(700); ///< Time allowed for an answer beyond the requested wait.
@@ -36,7 +35,8 @@
 
 /// Requests the worker's lists of runs and ends, renews its lease and acknowledges ends.
 struct RenewWorker {
-    std::uint64_t epoch = 0; ///< Fencing token.
+    std::uint64_t epoch = 0; ///< Epoch of the owner that it is sent for.
+    std::uint64_t fence = 0; ///< Fencing token.
     std::uint64_t acknowledgedEnd = 0; ///< The worker may discard ends up to and including this number.
     std::optional<Duration> leaseEnd; ///< New end of the lease, on the worker's clock; none if the lease must not be renewed.
     Duration wait{}; ///< Maximum time that the worker waits for an end before it answers.
@@ -48,7 +48,8 @@
 struct StartTask {
     RunName run; ///< The run.
     WorkerIncarnation incarnation; ///< Incarnation of the worker that the action is for.
-    std::uint64_t epoch = 0; ///< Fencing token.
+    std::uint64_t epoch = 0; ///< Epoch of the owner that it is sent for.
+    std::uint64_t fence = 0; ///< Fencing token.
     std::string payload; ///< Payload for the task.
     std::string checkpoint; ///< Checkpoint to resume from; empty to start from the beginning.
     Duration startBy{}; ///< Start deadline, on the worker's clock.
@@ -58,7 +59,7 @@
 struct StopTask {
     RunName run; ///< The run.
     WorkerIncarnation incarnation; ///< Incarnation of the worker that the action is for.
-    std::uint64_t epoch = 0; ///< Fencing token.
+    std::uint64_t fence = 0; ///< Fencing token.
 };
 
 /// A message to the worker that the host daemon sends for the supervisor.
@@ -84,12 +85,17 @@
 struct RenewalAnswer {
     std::optional<WorkerLists> lists; ///< The lists; none if there was no valid answer.
     bool refused = false; ///< The worker's address refused the connection.
+    bool disconnected = false; ///< The connection broke before the answer.
 };
 
 /// Supervises the worker on the agent's instance for the owner of the pool.
 ///
 /// Only the supervisor sends orders to the worker. It stores no state: after a restart it recovers the runs from the worker's lists. It
 /// renews the worker's lease only while the owner keeps renewing, so a worker that the owner can't reach stops without external action.
+///
+/// Calls name the worker only by its id, and a restarted worker has seen no fencing token. Each process of the agent therefore draws its
+/// tokens from the version of its registration in the table service, and raises its token whenever the worker may have restarted: lists
+/// that answer the raised token prove that no order sent under a lower one, by whichever process, can still take effect.
 class WorkerSupervisor
 {
 public:
@@ -107,6 +113,16 @@
     /// @param worker Id of the worker.
     void onWorkerLeft(const std::string &worker);
 
+    /// Adopts fencing tokens that are higher than those of all earlier processes.
+    /// @param rowVersion Version of the row that this process has written to register itself.
+    void onRegistered(std::uint64_t rowVersion);
+
+    /// @return Whether the agent must register itself: it has not yet, or has used up its fencing tokens.
+    bool needsRegistration() const
+    {
+        return !m_registered;
+    }
+
     /// Handles a call of an owner.
     /// @param request The call.
     /// @param now Current time.
@@ -172,7 +188,13 @@
     }
 
     void resetIncarnationState();
-    void carryOverOrders(TimePoint now);
+    void raiseFence();
+    bool isFenced() const
+    {
+        return m_registered && m_provenFence >= m_firstFence;
+    }
+    void onListsLost(const RenewWorker &action, const RenewalAnswer &answer, bool otherIncarnation, TimePoint now);
+    void recordProof(const RenewWorker &action);
     void handleOrder(const TaskOrder &order, TimePoint now);
     void beginStop(const RunName &run, const WorkerIncarnation &incarnation, TimePoint now);
     void refuseStart(const RunName &run, const std::string &reason);
@@ -199,6 +221,11 @@
     TimePoint m_ownerContact{};
     bool m_hasOwnerContact = false;
     bool m_stopping = false;
+    bool m_registered = false;
+    std::uint64_t m_fence = 0; // token of the next order; zero if none may be sent
+    std::uint64_t m_fenceLimit = 0; // first token of the next registration
+    std::uint64_t m_firstFence = 0; // lowest token of this process for the worker's current incarnation
+    std::uint64_t m_provenFence = 0; // highest token that the worker's current incarnation has answered with lists
 
     bool m_runsKnown = false;
     bool m_renewalInFlight = false;
@@ -220,8 +247,6 @@
     std::map<RunName, PendingOrder> m_starts;
     std::map<RunName, TimePoint> m_confirmed; // starts that the latest lists may not contain yet, with the time of confirmation
     std::map<RunName, PendingOrder> m_stops;
-    std::map<RunName, std::pair<TaskOrder, TimePoint>> m_sentStarts; // with the time of sending: a copy may still be in flight
-    bool m_closesEarlierOrders = false; // as soon as the new incarnation's lists are known
     std::set<RunName> m_closed; // runs that must not start any more
     std::deque<RunRefusal> m_refusals;
     std::vector<SupervisorAction> m_actions;
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -132,7 +132,7 @@
 
     void registerAgent(TimePoint now)
     {
-        if (m_registered || m_registering || !m_supervisor.worker() || now < m_registerAfter) {
+        if (!m_supervisor.needsRegistration() || m_registering || now < m_registerAfter) {
             return;
         }
         m_registering = true;
@@ -142,10 +142,10 @@
                                "{\"failure_domain\":\"" + m_settings.failureDomain + "\"}"}};
         m_store.commit(transaction, [this](const CommitResult &result) {
             m_registering = false;
-            m_registered = result.state == CommitState::Committed;
             m_registerAfter = EventLoop::now() + registrationRetry;
-            if (m_registered) {
+            if (result.state == CommitState::Committed) {
                 Log::info("agent_registered", {{"row", static_cast<std::int64_t>(result.version)}});
+                m_supervisor.onRegistered(result.version);
             }
         });
     }
@@ -188,7 +188,7 @@
         for (const PendingCall &call : m_pendingCalls) {
             next = std::min(next, call.deadline);
         }
-        if (!m_registered && m_supervisor.worker()) {
+        if (m_supervisor.needsRegistration()) {
             next = std::min(next, std::max(m_registerAfter, now + fromMilliseconds(1)));
         }
         if (next == m_armedFor) {
@@ -246,7 +246,6 @@
     TimerId m_timer;
     TimePoint m_armedFor{};
     TimePoint m_registerAfter{};
-    bool m_registered = false;
     bool m_registering = false;
     bool m_stopping = false;
     HttpServer m_announcementServer;
--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -107,6 +107,7 @@
     builder.setKnownIncarnation(request.knownIncarnation);
     builder.setKnownStatus(request.knownStatus);
     builder.setWaitMicroseconds(request.wait.count());
+    builder.setWorkerFence(request.workerFence);
     auto orders = builder.initOrders(static_cast<unsigned>(request.orders.size()));
     for (unsigned index = 0; index < request.orders.size(); ++index) {
         encodeOrder(request.orders[index], orders[index]);
@@ -125,6 +126,7 @@
     request.knownIncarnation = reader.getKnownIncarnation();
     request.knownStatus = reader.getKnownStatus();
     request.wait = Duration(reader.getWaitMicroseconds());
+    request.workerFence = reader.getWorkerFence();
     for (const auto order : reader.getOrders()) {
         request.orders.push_back(decodeOrder(order));
     }
@@ -144,6 +146,8 @@
     builder.setLapsed(status.leaseExpired);
     builder.setRefusing(status.connectionRefused);
     builder.setListedEpoch(status.runsKnownEpoch);
+    builder.setUnfenced(status.unfenced);
+    builder.setWorkerFence(status.workerFence);
     builder.setLeaving(status.agentStopping);
     encodeWorker(status.worker, builder);
     auto runs = builder.initRuns(static_cast<unsigned>(status.runs.size()));
@@ -180,6 +184,8 @@
     status.leaseExpired = reader.getLapsed();
     status.connectionRefused = reader.getRefusing();
     status.runsKnownEpoch = reader.getListedEpoch();
+    status.unfenced = reader.getUnfenced();
+    status.workerFence = reader.getWorkerFence();
     status.agentStopping = reader.getLeaving();
     status.worker = decodeWorker(reader);
     for (const auto report : reader.getRuns()) {
--- a/src/rpc/banyanlock.capnp
+++ b/src/rpc/banyanlock.capnp
@@ -116,6 +116,7 @@
   knownIncarnation @7 :UInt64;
   knownStatus @8 :UInt64;
   waitMicroseconds @9 :Int64;
+  workerFence @10 :UInt64;
 }
 
 struct RunReport {
@@ -162,6 +163,8 @@
   refusals @21 :List(RunRefusal);
   refusing @22 :Bool;
   listedEpoch @23 :UInt64;
+  unfenced @24 :Bool;
+  workerFence @25 :UInt64;
 }
 
 interface SupervisorRpc {
--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -97,10 +97,10 @@
 
 std::optional<WorkerLists> PoolWorkerModel::renew(const RenewWorker &action, TimePoint now)
 {
-    if (action.incarnation != m_announcement.incarnation || action.epoch < m_epoch) {
+    if (action.incarnation != m_announcement.incarnation || action.fence < m_fence) {
         return std::nullopt;
     }
-    m_epoch = action.epoch;
+    m_fence = action.fence;
     if (clock(now) > m_leaseEnd) {
         for (const RunEnd &end : m_ends) {
             m_lapsedEnds.insert(end.number);
@@ -133,10 +133,10 @@
     if (action.incarnation != m_announcement.incarnation) {
         return {OrderOutcome::OtherIncarnation, "other life"};
     }
-    if (action.epoch < m_epoch) {
+    if (action.fence < m_fence) {
         return {OrderOutcome::Refused, "fenced"};
     }
-    m_epoch = action.epoch;
+    m_fence = action.fence;
     if (m_running.contains(action.run)) {
         return {OrderOutcome::Done, ""};
     }
@@ -165,10 +165,10 @@
     if (action.incarnation != m_announcement.incarnation) {
         return OrderOutcome::OtherIncarnation;
     }
-    if (action.epoch < m_epoch) {
+    if (action.fence < m_fence) {
         return OrderOutcome::Refused;
     }
-    m_epoch = action.epoch;
+    m_fence = action.fence;
     const auto running = m_running.find(action.run);
     if (running != m_running.end()) {
         end(action.run, RunEnding::Stopped, running->second.saved);
@@ -190,7 +190,7 @@
     m_ends.clear();
     m_lapsedEnds.clear();
     m_nextEnd = 1;
-    m_epoch = 0;
+    m_fence = 0;
     m_leaseEnd = {};
     m_bornAt = now;
     m_announcement.incarnation.startedUnixMilliseconds += 1;
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -133,7 +133,7 @@
     std::vector<RunEnd> m_ends;
     std::set<std::uint64_t> m_lapsedEnds; // the lease lapsed before they were acknowledged: a new start is allowed
     std::uint64_t m_nextEnd = 1;
-    std::uint64_t m_epoch = 0;
+    std::uint64_t m_fence = 0;
     Duration m_leaseEnd{};
     TimePoint m_bornAt{};
     double m_slowness = 1.0;
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -193,15 +193,13 @@
     agent.loop = std::make_unique<VirtualLoop>(m_now);
     ++agent.generation;
     agent.pendingCalls.clear();
+    agent.registering = false;
     agent.supervisor = std::make_unique<WorkerSupervisor>(m_random.bits(), SupervisorTiming(), m_counters);
     agent.loop->setFlush([this, &agent] {
         flushAgent(agent);
     });
     agent.loop->after(fromMilliseconds(5), [] {
     });
-    TableTransaction registration;
-    registration.writes = {{std::string(PoolRows::table), PoolRows::keyOf(PoolRows::workerPrefix, agent.address), "{}"}};
-    m_tableService.commit(registration);
 }
 
 void PoolWorld::writeConfiguration()
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -131,6 +131,12 @@
         m_options.lateOrderRate = 0.0;
     }
 
+    /// @param rate Fraction of orders to workers that get no answer and are executed late.
+    void setLateOrderRate(double rate)
+    {
+        m_options.lateOrderRate = rate;
+    }
+
     // Faults. A restarted entry or agent is killed without notice and replaced by a new process.
     void restartEntry(std::size_t entry);
     void partitionEntryFromStore(std::size_t entry, bool partitioned);
@@ -197,6 +203,7 @@
     void deliver(Agent &agent, std::uint64_t generation, const SuperviseRequest &request, std::function<void(WorkerStatus)> reply);
     static WorkerIncarnation receivingIncarnation(const Agent &agent, const WorkerIncarnation &intended);
     void execute(Agent &agent, const SupervisorAction &action);
+    void registerAgent(Agent &agent);
     void answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
                        TimePoint deadline);
     void call(PoolCall call, const std::string &job, std::size_t entry);
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -83,6 +83,7 @@
 
 void PoolWorld::flushAgent(Agent &agent)
 {
+    registerAgent(agent);
     agent.supervisor->step(m_now);
     for (const SupervisorAction &action : agent.supervisor->takeActions()) {
         execute(agent, action);
@@ -107,6 +108,26 @@
     }
 }
 
+void PoolWorld::registerAgent(Agent &agent)
+{
+    constexpr Duration registrationTime = fromMilliseconds(5);
+    if (agent.registering || !agent.supervisor->needsRegistration()) {
+        return;
+    }
+    agent.registering = true;
+    agent.loop->after(registrationTime, [this, &agent, generation = agent.generation] {
+        if (generation != agent.generation) {
+            return;
+        }
+        agent.registering = false;
+        if (!m_tableService.down) {
+            TableTransaction registration;
+            registration.writes = {{std::string(PoolRows::table), PoolRows::keyOf(PoolRows::workerPrefix, agent.address), "{}"}};
+            agent.supervisor->onRegistered(m_tableService.commit(registration).version);
+        }
+    });
+}
+
 void PoolWorld::answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
                               TimePoint deadline)
 {
@@ -124,7 +145,7 @@
     if (agent.crashed) {
         agent.loop->after(fromMilliseconds(1), [&agent, generation, action, this] {
             if (generation == agent.generation) {
-                agent.supervisor->onLists(action, {std::nullopt, true}, m_now);
+                agent.supervisor->onLists(action, {std::nullopt, true, false}, m_now);
             }
         });
         return;
@@ -140,9 +161,10 @@
         });
         return;
     }
-    agent.loop->after(fromMilliseconds(1), [&agent, generation, action, lists, this] {
+    const bool disconnected = received.incarnation != agent.worker->announcement().incarnation;
+    agent.loop->after(fromMilliseconds(1), [&agent, generation, action, lists, disconnected, this] {
         if (generation == agent.generation) {
-            agent.supervisor->onLists(action, {lists, false}, m_now);
+            agent.supervisor->onLists(action, {lists, false, disconnected}, m_now);
         }
     });
 }
@@ -198,7 +220,7 @@
                 supervisor.onStopped(stop, OrderOutcome::Unknown, m_now);
             });
         }
-        const StopTask received{stop->run, receivingIncarnation(agent, stop->incarnation), stop->epoch};
+        const StopTask received{stop->run, receivingIncarnation(agent, stop->incarnation), stop->fence};
         m_network.after(transitTime, [this, &agent, stop = *stop, received, late, reachable, respond] {
             if (!reachable || agent.removed) {
                 return;
--- a/tests/pool/PoolWorldProcesses.h
+++ b/tests/pool/PoolWorldProcesses.h
@@ -66,6 +66,7 @@
     std::unique_ptr<PoolWorkerModel> worker;
     std::list<PendingCall> pendingCalls;
     std::uint64_t generation = 0; // number of processes the agent has had
+    bool registering = false; // a registration in the table service is in flight
     bool partitioned = false; // from all entries
     bool partitionedFromWorker = false; // from its worker
     bool removed = false; // the instance is removed, with agent and worker
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -23,6 +23,7 @@
 
     Fixture()
     {
+        supervisor.onRegistered(1);
         announce(1, false);
         SuperviseRequest firstRequest;
         firstRequest.epoch = 1;
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -126,12 +126,12 @@
     const Json body = Json::parse(request.body);
     const RunName run{taskOf(body.at("task")), body.at("run")};
     const WorkerIncarnation incarnation = m_model.announcement().incarnation;
-    const std::uint64_t epoch = body.value("fencingToken", std::uint64_t{0});
+    const std::uint64_t fence = body.value("fencingToken", std::uint64_t{0});
     const TimePoint now = EventLoop::now();
     if (request.path == "/api/run-stop") {
-        return jsonAnswer(statusOf(m_model.stop({run, incarnation, epoch}, now)), Json::object());
+        return jsonAnswer(statusOf(m_model.stop({run, incarnation, fence}, now)), Json::object());
     }
-    const auto [outcome, reason] = m_model.start({run, incarnation, epoch, body.at("spec"), body.value("checkpointedAt", ""),
+    const auto [outcome, reason] = m_model.start({run, incarnation, 0, fence, body.at("spec"), body.value("checkpointedAt", ""),
                                                   fromMilliseconds(body.at("deadlineMs").get<std::int64_t>())},
                                                  now);
     return jsonAnswer(statusOf(outcome), {{"reason", reason}});
@@ -149,7 +149,7 @@
     const Json body = Json::parse(request.body);
     const TimePoint now = EventLoop::now();
     RenewWorker action;
-    action.epoch = body.value("fencingToken", std::uint64_t{0});
+    action.fence = body.value("fencingToken", std::uint64_t{0});
     action.acknowledgedEnd = body.value("lastSeen", std::uint64_t{0});
     action.incarnation = incarnation;
     if (body.contains("deadlineMs")) {
