Wait for all renewals that an agent may have used before runs expire

What callers could see: a task runs twice after its agent restarted. For an agent that does not know its worker's runs, the owner counted the lease from the last status that showed them. (1) After a takeover that was the time of the takeover, although an earlier process of the agent may have renewed for the earlier owner until the new one reached the agent, up to 5 s later. (2) The agent may learn the runs, renew the lease and forget them again between two statuses, while the owner kept sending renewals.

Evidence: leaseRenewedByEarlierOwnerThroughEarlierAgentProcessIsWaitedFor (run over 8.3 s after the takeover instead of 12 s or more) and runsAreKeptForOneLeaseAfterRenewalOfAgentThatForgetsThemAgain (run over 50 ms after a renewal was sent) failed before and pass now.

The owner renews only through agents that know the runs, so the time of the last sent renewal bounds the lease and lastAgentRenewal is not needed. The first contact with an agent lowers that time to the receipt of the answer, no longer to the sending of the call. Such an agent gets its first renewal when a request that waits for an end is in flight, so it renews the lease at once beside it (leaseIsRenewedAtOnceWhenOwnerIsInContactAgain failed without that).

--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -40,7 +40,7 @@
     request.epoch = m_epoch;
     if (worker.known) {
         request.validUntil = worker.agentClock(now) + m_timing.callValidity;
-        request.renews = m_renewalsAllowed && !isSilent(worker, now);
+        request.renews = m_renewalsAllowed && worker.status.runsKnown && !isSilent(worker, now);
         request.knownIncarnation = worker.status.agentIncarnation;
         request.knownStatus = worker.status.number;
         request.acknowledgedIncarnation = worker.status.worker.incarnation;
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -67,9 +67,9 @@
         return;
     }
     if (!worker.known) {
-        // From now on the agent refuses calls of earlier owners.
+        // From now on the agent refuses calls of earlier owners; an earlier process of the agent may have accepted them until now.
         worker.known = true;
-        worker.lastRenewalSent = sentAt;
+        worker.lastRenewalSent = std::min(worker.lastRenewalSent, now);
     }
     if (worker.status.worker.incarnation != status->worker.incarnation) {
         worker.processedEnd = 0;
@@ -83,11 +83,6 @@
     }
     const bool isUpdate
         = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number || isSilent(worker, now);
-    if (status->runsKnown) {
-        worker.lastAgentRenewal = now;
-    } else if (worker.status.runsKnown) {
-        worker.lastAgentRenewal = std::max(worker.lastAgentRenewal, worker.lastRenewalSent);
-    }
     worker.status = *status;
     worker.statusRequestedAt = sentAt;
     worker.statusReceivedAt = now;
@@ -250,9 +245,9 @@
             if (!silent && worker->status.runsKnown) {
                 continue;
             }
-            // An agent that does not know the worker's runs renews nothing. A silent agent may have received renewals that it did not
+            // An agent that does not know the worker's runs gets no renewals. A silent agent may have received renewals that it did not
             // answer.
-            const TimePoint renewed = silent ? std::max(worker->lastRenewalSent, worker->statusReceivedAt) : worker->lastAgentRenewal;
+            const TimePoint renewed = silent ? std::max(worker->lastRenewalSent, worker->statusReceivedAt) : worker->lastRenewalSent;
             const TimePoint leaseEnd = renewed + m_timing.callValidity + m_timing.lease + m_timing.leaseSlack;
             if (now > leaseEnd && now > member.startExpiredAt + m_timing.lease) {
                 member.ending = RunEnding::LeaseExpired;
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -50,7 +50,6 @@
         worker = PoolWorker();
         worker.agent = address;
         worker.lastRenewalSent = m_earlierOwnersRenewUntil;
-        worker.lastAgentRenewal = now;
     }
     restoreRunningUnits(now);
 }
@@ -116,7 +115,6 @@
     PoolWorker worker;
     worker.agent = agent;
     worker.lastRenewalSent = m_earlierOwnersRenewUntil;
-    worker.lastAgentRenewal = m_ownedAt;
     m_workers[agent] = std::move(worker);
     requestPlan();
 }
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -17,7 +17,6 @@
     TimePoint statusRequestedAt{}; ///< When the call that returned the latest status was sent.
     TimePoint statusReceivedAt{}; ///< When the latest status was received.
     TimePoint lastRenewalSent{}; ///< Latest time at which this owner or an earlier one can have sent a renewal.
-    TimePoint lastAgentRenewal{}; ///< Latest time at which the agent can have renewed the worker's lease, according to its statuses.
     bool pollInFlight = false; ///< A long-polling call is in flight.
     std::uint64_t pollCall = 0; ///< Number of the long-polling call.
     TimePoint nextPoll{}; ///< When to poll next; later than now only after a failure.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -127,6 +127,7 @@
     if (request.renews && valid) {
         if (!m_hasOwnerContact || now - m_ownerContact > m_timing.lease / 2) {
             m_nextRenewal = std::min(m_nextRenewal, now);
+            m_pollImmediately = m_pollImmediately || m_runsKnown; // not only after the waiting request
         }
         m_ownerContact = now;
         m_hasOwnerContact = true;
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -149,6 +149,43 @@
     BOOST_TEST(isRunOver());
 }
 
+BOOST_AUTO_TEST_CASE(leaseRenewedByEarlierOwnerThroughEarlierAgentProcessIsWaitedFor)
+{
+    // The earlier owner renews for 5 s after the takeover through an agent that restarts before the new owner reaches it.
+    addJob(makeStep(1, 1, 60000), {{workerIncarnation, agentName}});
+    acquire();
+    const TimePoint acquired = now;
+    run(fromMilliseconds(6000));
+    onCall = [&](const CallAgent &call) {
+        answer(call, makeStatus(1, 1, false));
+    };
+    while (!isRunOver() && now - acquired < fromMilliseconds(20000)) {
+        step();
+        now += fromMilliseconds(50);
+    }
+    const PoolTiming timing;
+    BOOST_TEST(toMilliseconds(now - acquired) >= toMilliseconds(timing.detachedLimit + timing.callValidity + timing.lease));
+    BOOST_TEST(isRunOver());
+}
+
+BOOST_AUTO_TEST_CASE(runsAreKeptForOneLeaseAfterRenewalOfAgentThatForgetsThemAgain)
+{
+    // The agent may learn the runs, renew the lease and restart between two statuses.
+    addJob(makeStep(1, 1, 60000), {{workerIncarnation, agentName}});
+    acquire();
+    std::uint64_t number = 1;
+    onCall = [&](const CallAgent &call) {
+        answer(call, makeStatus(1, number += 2, false));
+    };
+    const TimePoint acquired = now;
+    while (!isRunOver() && now - acquired < fromMilliseconds(20000)) {
+        step();
+        now += fromMilliseconds(50);
+    }
+    BOOST_TEST(isRunOver());
+    BOOST_TEST(toMilliseconds(now - lastRenewal) >= toMilliseconds(PoolTiming().lease));
+}
+
 BOOST_AUTO_TEST_CASE(expiredLeaseDoesNotEndRunWhoseStartIsInFlight)
 {
     addJob(makeStep(1, 1, 60000), {});
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -299,6 +299,37 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(leaseIsRenewedAtOnceWhenOwnerIsInContactAgain)
+{
+    // The owner renews only once the agent has reported the worker's runs; a request that waits for an end is in flight by then.
+    supervisor.step(now);
+    supervisor.takeActions();
+    now += SupervisorTiming().lease / 2 + fromMilliseconds(1);
+    RenewWorker poll;
+    poll.epoch = 1;
+    poll.incarnation = workerIncarnation;
+    poll.sentAt = now - fromMilliseconds(1);
+    WorkerLists lists;
+    lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+    lists.clock = fromMilliseconds(3000);
+    supervisor.onLists(poll, {lists, false}, now);
+    supervisor.step(now);
+    supervisor.takeActions();
+    now += fromMilliseconds(100);
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.renews = true;
+    request.validUntil = now + fromMilliseconds(1000);
+    supervisor.onSupervise(request, now);
+    supervisor.step(now);
+    bool renewed = false;
+    for (const SupervisorAction &action : supervisor.takeActions()) {
+        const RenewWorker *renewal = std::get_if<RenewWorker>(&action);
+        renewed = renewed || (renewal != nullptr && renewal->leaseEnd.has_value());
+    }
+    BOOST_TEST(renewed);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
