Wait for fresh lists before a start sent by an earlier agent process ends

What callers could see: a task runs twice after its agent restarted. When the process that received a start has ended, the owner concluded from any status requested after the start's expiry that the run does not exist. The new process knows of the run only by the worker's lists, which may be older than the request by the silence timeout: a start that was executed shortly before its deadline was missing in them.

Statuses of the process that received the order are exact and conclude as before. Costs 2.5 s in the rare case that the order and the end of the agent's process coincide.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -28,6 +28,8 @@
                                                     ///< worker and for taking a failure domain out of service.
     Duration startExpiry
         = fromMilliseconds(2200); ///< Start timeout plus margin for clock drift; afterwards a start can no longer take effect.
+    Duration maxListsAge
+        = fromMilliseconds(2500); ///< Maximum age of a worker's lists while its agent reports it as answering: the agent's silence timeout.
     Duration minPollWait = fromMilliseconds(1000); ///< Long-poll wait in a small pool.
     Duration maxPollWait = fromMilliseconds(2000); ///< Long-poll wait in a large pool; a third of the lease.
     Duration pollWaitPerWorker
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -213,6 +213,28 @@
     BOOST_TEST(!isRunOver());
 }
 
+BOOST_AUTO_TEST_CASE(startSentByEarlierAgentProcessIsNotEndedByListsOlderThanItsExecution)
+{
+    addJob(makeStep(1, 1, 60000), {});
+    acquire();
+    bool ordered = false;
+    onCall = [&](const CallAgent &call) {
+        ordered = ordered || !call.request.orders.empty();
+        WorkerStatus status = makeStatus(ordered ? 2 : 1, 1, true); // the process that got the order ends
+        answer(call, status);
+    };
+    while (!ordered) {
+        run(fromMilliseconds(50));
+    }
+    const TimePoint orderedAt = now;
+    const PoolTiming timing;
+    while (latestRun() == 1 && now - orderedAt < fromMilliseconds(20000)) {
+        run(fromMilliseconds(50));
+    }
+    BOOST_TEST(latestRun() == 2U);
+    BOOST_TEST(toMilliseconds(now - orderedAt) >= toMilliseconds(timing.startTimeout + timing.maxListsAge));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
