Close an unanswered start only when the worker's clock passed its deadline

What callers could see: a task runs twice. An agent reported an unanswered start as refused once lists were requested after the deadline on the agent's clock, with 0.3 s for a slow worker clock. The worker checks the deadline on its own clock. If that is further behind, for example because it stood still while the machine was suspended, a delayed copy of the start was still executed after the owner had placed the task elsewhere.

Evidence: unansweredStartIsKeptUntilWorkerClockHasPassedItsDeadline failed before (start closed while the worker's clock was 0.5 s before the deadline) and passes now.

The worker's clock in its lists is compared with the deadline that was sent. The fixture's worker now has a clock that runs; it stood at 0, which no worker's does, so the check of the other test stays as strict.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -215,8 +215,9 @@
         return now - sent.second.second > m_timing.maxOrderDelay;
     });
     m_sentStarts[order.run] = {order, now};
-    m_actions.emplace_back(
-        StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, workerClock(now) + (order.startBy - now)});
+    const Duration startBy = workerClock(now) + (order.startBy - now);
+    pending.workerDeadline = std::max(pending.workerDeadline, startBy);
+    m_actions.emplace_back(StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, startBy});
 }
 
 void WorkerSupervisor::carryOverOrders(TimePoint now)
@@ -356,11 +357,12 @@
 void WorkerSupervisor::closeExpiredStarts(TimePoint listedAt)
 {
     // An unanswered start can no longer take effect if lists requested after its start deadline don't contain it. The deadline is checked
-    // against the worker's clock, which may run slow.
+    // against the worker's clock, which may run slow or stand still while the machine is suspended.
     constexpr Duration clockSlack = fromMilliseconds(300);
     std::vector<RunName> expired;
     for (const auto &[run, pending] : m_starts) {
-        if (!pending.outstanding && listedAt > pending.order.startBy + clockSlack && !isListed(run)) {
+        const bool isPast = listedAt > pending.order.startBy + clockSlack && m_clockAtAnswer > pending.workerDeadline;
+        if (!pending.outstanding && isPast && !isListed(run)) {
             expired.push_back(run);
         }
     }
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -164,6 +164,7 @@
         bool outstanding = false; // a call to the worker is in flight
         TimePoint nextTry{};
         std::uint32_t attempts = 0; // calls sent so far
+        Duration workerDeadline{}; // latest deadline of its starts, on the worker's clock
     };
 
     void markChanged()
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -19,6 +19,7 @@
     Counters counters;
     WorkerSupervisor supervisor{7, SupervisorTiming(), counters};
     TimePoint now{std::chrono::seconds(100)};
+    const TimePoint bornAt = now;
     TimePoint startBy{};
 
     Fixture()
@@ -89,6 +90,7 @@
             if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
                 WorkerLists lists;
                 lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+                lists.clock = now - bornAt;
                 supervisor.onLists(*renewal, {lists, false}, now);
             } else if (const StopTask *stop = std::get_if<StopTask>(&action)) {
                 supervisor.onStopped(*stop, OrderOutcome::Unknown, now);
@@ -299,6 +301,31 @@
     }
 }
 
+BOOST_AUTO_TEST_CASE(unansweredStartIsKeptUntilWorkerClockHasPassedItsDeadline)
+{
+    // The worker's clock may be behind the agent's estimate after a suspension.
+    const std::vector<StartTask> starts = takeStarts();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    announce(2, true);
+    supervisor.onStarted(starts.front(), OrderOutcome::Unknown, "", now);
+    now = startBy + fromMilliseconds(1000);
+    const auto answer = [&](Duration clock) {
+        RenewWorker poll;
+        poll.epoch = 1;
+        poll.incarnation = workerIncarnation;
+        poll.sentAt = now;
+        WorkerLists lists;
+        lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+        lists.clock = clock;
+        now += fromMilliseconds(1);
+        supervisor.onLists(poll, {lists, false}, now);
+    };
+    answer(starts.front().startBy - fromMilliseconds(500));
+    BOOST_TEST(isRunReported());
+    answer(starts.front().startBy + fromMilliseconds(1));
+    BOOST_TEST(!isRunReported());
+}
+
 BOOST_AUTO_TEST_CASE(leaseIsRenewedAtOnceWhenOwnerIsInContactAgain)
 {
     // The owner renews only once the agent has reported the worker's runs; a request that waits for an end is in flight by then.
