--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -156,6 +156,7 @@
     if (request.renews && valid) {
         if (!m_hasOwnerContact || now - m_ownerContact > m_timing.lease / 2) {
             m_nextRenewal = std::min(m_nextRenewal, now);
+            m_pollImmediately = m_pollImmediately || m_runsKnown; // not only after the waiting request
         }
         m_ownerContact = now;
         m_hasOwnerContact = true;
@@ -242,6 +243,7 @@
     pending.outstanding = true;
     ++pending.attempts;
     const Duration startBy = workerClock(now) + (order.startBy - now);
+    pending.workerDeadline = std::max(pending.workerDeadline, startBy);
     Log::info("task_start_sent",
               {{"run", describe(order.run)},
                {"worker", order.incarnation.worker},
@@ -404,11 +406,12 @@
 void WorkerSupervisor::closeExpiredStarts(TimePoint listedAt)
 {
     // An unanswered start can no longer take effect if lists requested after its start deadline don't contain it. The deadline is checked
-    // against the worker's clock, which may run slow.
+    // against the worker's clock, which may run slow or stand still while the machine is suspended.
     constexpr Duration clockSlack = fromMilliseconds(300);
     std::vector<RunName> expired;
     for (const auto &[run, pending] : m_starts) {
-        if (!pending.outstanding && listedAt > pending.order.startBy + clockSlack && !isListed(run)) {
+        const bool isPast = listedAt > pending.order.startBy + clockSlack && m_clockAtAnswer > pending.workerDeadline;
+        if (!pending.outstanding && isPast && !isListed(run)) {
             expired.push_back(run);
         }
     }
