--- a/tests/platform/RowStoreTest.cpp
+++ b/tests/platform/RowStoreTest.cpp
@@ -1,6 +1,6 @@
 #include "platform/RowStore.h"
-#include "http/HttpServer.h"
 #include "platform/Base64.h"
+#include "support/ScriptedServer.h"
 
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
@@ -10,37 +10,13 @@
 namespace
 {
 
-/// HTTP server that answers each request with a prepared status and body and records the requests.
-struct ScriptedStore {
-    ScriptedStore(EventLoop &loop, Counters &counters, std::uint16_t port)
-        : server(loop, HttpServerLimits(), counters, [this](const ServerRequest &request, const HttpServer::Responder &respond) {
-            requests.push_back(request);
-            ServerResponse response;
-            response.status = status;
-            response.contentType = "application/json";
-            response.body = std::make_shared<const std::string>(bodies.empty() ? "{}" : bodies.front());
-            if (bodies.size() > 1) {
-                bodies.erase(bodies.begin());
-            }
-            respond(std::move(response));
-        })
-    {
-        BOOST_REQUIRE(isOk(server.listen({"127.0.0.1", port})));
-    }
-
-    int status = 200;
-    std::vector<std::string> bodies;
-    std::vector<ServerRequest> requests;
-    HttpServer server;
-};
-
 struct Fixture {
     static constexpr std::uint16_t port = 18731;
 
     Counters counters;
     EventLoop loop;
     HttpClient http{4};
-    ScriptedStore store{loop, counters, port};
+    ScriptedServer store{loop, counters, port};
     RowStore client{"http://127.0.0.1:" + std::to_string(port), loop, http, counters};
 
     CommitResult commit()
