Write progress rows of workers whose id has unreadable bytes

Callers saw: no direct report. A heartbeat under a path with bytes that are not UTF-8 made each owner end at the first placement there. Cause: the id becomes part of the progress row, and writing the row's JSON throws type_error.316. Evidence: before, progressOfAWorkerWithUnreadableBytesCanBeWritten ended with that exception. Change: unreadable bytes are replaced, as in specification rows.

--- a/src/graph/GraphCodec.cpp
+++ b/src/graph/GraphCodec.cpp
@@ -167,7 +167,8 @@
     for (const auto &[key, unit] : progress.units) {
         units.push_back(unitToJson(key, unit));
     }
-    return Json{{"state", graphStateName(progress.state)}, {"finished", progress.finishedOccurrences}, {"units", units}}.dump();
+    return Json{{"state", graphStateName(progress.state)}, {"finished", progress.finishedOccurrences}, {"units", units}}.dump(
+        -1, ' ', false, Json::error_handler_t::replace);
 }
 
 std::optional<GraphProgress> decodeGraphProgress(const std::string &text)
--- a/tests/graph/GraphCodecTest.cpp
+++ b/tests/graph/GraphCodecTest.cpp
@@ -89,6 +89,13 @@
     BOOST_TEST(!checkGraphSpec(spec).empty());
 }
 
+BOOST_AUTO_TEST_CASE(progressOfAWorkerWithUnreadableBytesCanBeWritten)
+{
+    GraphProgress progress;
+    progress.units[{0, 0, 0}].places = {{{"w\xff", 17}, "10.0.0.1:7000"}};
+    BOOST_TEST(decodeGraphProgress(encodeGraphProgress(progress)).has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
