Limit the nesting and check the numbers of documents of other writers

Callers saw: a message of 100,000 levels ended the process; a number out of range was taken over as another number. Change: parseJson() limits a document to 64 levels before it is built; wholeNumberOf() and its relatives read a number exactly or not at all.

--- a/src/contract/JsonFields.cpp
+++ b/src/contract/JsonFields.cpp
@@ -1,5 +1,7 @@
 #include "contract/JsonFields.h"
 
+#include "core/JsonInput.h"
+
 #include <algorithm>
 #include <cctype>
 #include <utility>
@@ -83,12 +85,12 @@
     if (json == nullptr) {
         return;
     }
-    const bool inRange = json->is_number_unsigned() && json->get<std::uint64_t>() >= minimum && json->get<std::uint64_t>() <= maximum;
-    if (!inRange) {
+    const std::optional<std::uint32_t> number = json->is_number_unsigned() ? wholeNumberOf(*json, minimum, maximum) : std::nullopt;
+    if (!number) {
         fail(field, "must be a whole number from " + std::to_string(minimum) + " to " + std::to_string(maximum));
         return;
     }
-    value = json->get<std::uint32_t>();
+    value = *number;
 }
 
 void JsonFields::readBool(const char *field, bool &value)
@@ -124,7 +126,7 @@
 Result<nlohmann::json> parseJsonObject(const std::string &text, ResultCode code)
 {
     try {
-        nlohmann::json json = nlohmann::json::parse(text);
+        nlohmann::json json = parseJson(text);
         if (!json.is_object()) {
             return Error{code, "the body must be a JSON object"};
         }
--- a/src/schedule/JobCodec.cpp
+++ b/src/schedule/JobCodec.cpp
@@ -1,6 +1,7 @@
 #include "schedule/JobCodec.h"
 
 #include "contract/JsonFields.h"
+#include "core/JsonInput.h"
 
 #include <array>
 
@@ -111,23 +112,23 @@
 Result<JobRecord> decodeJobRecord(const TableRow &row)
 {
     try {
-        const Json json = Json::parse(row.value);
+        const Json json = parseJson(row.value);
         std::string fault;
         JobRecord record;
         record.id = json.at("id");
         record.spec = readSpec(json.at("spec"), fault);
         record.state = stateFromName(json.at("state"));
         record.cell = json.at("cell");
-        record.run = json.at("run");
-        record.startEpoch = json.at("start_epoch");
-        record.failures = json.at("failures");
+        readField(json, "run", record.run);
+        readField(json, "start_epoch", record.startEpoch);
+        readField(json, "failures", record.failures);
         for (const Json &task : json.at("tasks")) {
-            record.tasks.push_back({task.at("worker"), task.at("accelerators")});
+            record.tasks.push_back({task.at("worker"), readWhole<AcceleratorMask>(task.at("accelerators"), "accelerators")});
         }
         record.cancelRequested = json.at("cancel_requested");
         record.fromCheckpoint = json.at("from_checkpoint");
         record.reason = json.at("reason");
-        record.submitted = json.at("submitted");
+        readField(json, "submitted", record.submitted);
         record.version = row.version;
         if (!fault.empty()) {
             return Error{ResultCode::InvalidJob, fault};
--- a/src/schedule/WorkerCodec.cpp
+++ b/src/schedule/WorkerCodec.cpp
@@ -1,7 +1,8 @@
 #include "schedule/WorkerCodec.h"
 
+#include "core/JsonInput.h"
+
 #include <array>
-#include <nlohmann/json.hpp>
 
 namespace banyanlock
 {
@@ -29,7 +30,11 @@
 
 TaskKey readKey(const Json &json)
 {
-    return {json.at("job"), json.at("run"), json.at("index")};
+    TaskKey key;
+    key.job = json.at("job");
+    readField(json, "run", key.run);
+    readField(json, "index", key.index);
+    return key;
 }
 
 std::int64_t microsecondsOf(TimePoint point)
@@ -37,15 +42,21 @@
     return point.time_since_epoch().count();
 }
 
+Duration readMicroseconds(const Json &json)
+{
+    constexpr std::int64_t limit = 1LL << 53U; // 285 years; sums of two fit
+    return Duration(readWhole<std::int64_t>(json, "time", -limit, limit));
+}
+
 TimePoint readTimePoint(const Json &json)
 {
-    return TimePoint(Duration(json.get<std::int64_t>()));
+    return TimePoint(readMicroseconds(json));
 }
 
 template <typename Value, typename Read> Result<Value> decodeWith(const std::string &text, Read read)
 {
     try {
-        return read(Json::parse(text));
+        return read(parseJson(text));
     } catch (const Json::exception &error) {
         return Error{ResultCode::MalformedRequest, error.what()};
     }
@@ -56,10 +67,10 @@
     TaskCommand command;
     command.kind = valueFromName<TaskCommandKind>(commandNames, json.at("kind"));
     command.task = readKey(json.at("task"));
-    command.accelerators = json.at("accelerators");
-    command.processors = json.at("processors");
-    command.memoryMegabytes = json.at("memory_megabytes");
-    command.durationHintMilliseconds = json.at("duration_hint_milliseconds");
+    readField(json, "accelerators", command.accelerators);
+    readField(json, "processors", command.processors);
+    readField(json, "memory_megabytes", command.memoryMegabytes);
+    readField(json, "duration_hint_milliseconds", command.durationHintMilliseconds);
     command.fromCheckpoint = json.at("from_checkpoint");
     return command;
 }
@@ -98,11 +109,11 @@
     return decodeWith<WorkerMessage>(text, [](const Json &json) {
         WorkerMessage message;
         message.cell = json.at("cell");
-        message.epoch = json.at("epoch");
-        message.boot = json.at("boot");
+        readField(json, "epoch", message.epoch);
+        readField(json, "boot", message.boot);
         message.validUntil = readTimePoint(json.at("valid_until_microseconds"));
-        message.lease = Duration(json.at("lease_microseconds").get<std::int64_t>());
-        message.knownTasks = json.at("known_tasks");
+        message.lease = readMicroseconds(json.at("lease_microseconds"));
+        readField(json, "known_tasks", message.knownTasks);
         for (const Json &command : json.at("commands")) {
             message.commands.push_back(readCommand(command));
         }
@@ -133,15 +144,18 @@
 {
     return decodeWith<WorkerReport>(text, [](const Json &json) {
         WorkerReport report;
-        report.boot = json.at("boot");
+        readField(json, "boot", report.boot);
         report.clock = readTimePoint(json.at("clock_microseconds"));
-        report.highestEpoch = json.at("highest_epoch");
+        readField(json, "highest_epoch", report.highestEpoch);
         report.accepted = json.at("accepted");
-        report.tasksNumber = json.at("tasks_number");
+        readField(json, "tasks_number", report.tasksNumber);
         report.tasksOmitted = !json.contains("tasks");
-        for (const Json &task : json.value("tasks", Json::array())) {
-            report.tasks.push_back(
-                {readKey(task.at("task")), valueFromName<TaskState>(taskStateNames, task.at("state")), task.at("accelerators")});
+        if (report.tasksOmitted) {
+            return report;
+        }
+        for (const Json &task : json.at("tasks")) {
+            report.tasks.push_back({readKey(task.at("task")), valueFromName<TaskState>(taskStateNames, task.at("state")),
+                                    readWhole<AcceleratorMask>(task.at("accelerators"), "accelerators")});
         }
         return report;
     });
@@ -167,9 +181,9 @@
         worker.address = json.at("address");
         worker.failureDomain = json.at("failure_domain");
         worker.rack = json.at("rack");
-        worker.accelerators = json.at("accelerators");
-        worker.processors = json.at("processors");
-        worker.memoryMegabytes = json.at("memory_megabytes");
+        readField(json, "accelerators", worker.accelerators);
+        readField(json, "processors", worker.processors);
+        readField(json, "memory_megabytes", worker.memoryMegabytes);
         return worker;
     });
 }
--- a/tests/schedule/JobCodecTest.cpp
+++ b/tests/schedule/JobCodecTest.cpp
@@ -83,6 +83,36 @@
     BOOST_TEST(valueOf(omitted).tasksNumber == 6U);
 }
 
+BOOST_AUTO_TEST_CASE(impossibleNumbersAndNestingAreRejected)
+{
+    const auto withOdd = [](std::string text, const std::string &field, const std::string &odd) {
+        const std::size_t begin = text.find("\"" + field + "\":") + field.size() + 3;
+        return text.replace(begin, text.find_first_of(",}]", begin) - begin, odd);
+    };
+    const std::string nested = std::string(100'000, '[') + std::string(100'000, ']');
+    const std::string job = encodeJobRecord(makeRecord(5, JobState::Running));
+    WorkerMessage sent;
+    sent.commands = {{TaskCommandKind::Checkpoint, {"j", 2, 3}, 0xF, 1, 2, 3, true}};
+    const std::string message = encodeWorkerMessage(sent);
+    const std::string report = encodeWorkerReport({3, TimePoint(Duration(4)), 5, true, 6, false, {{{"j", 2, 3}, TaskState::Stopped, 0xF}}});
+    const std::string worker = encodeWorkerInfo({"w", "10.0.0.1:7000", "fd", "rack", 8, 64, 1024});
+    for (const std::string odd : {"1e300", "-1e300", "18446744073709551616", "1e400", "null", "true", "\"7\"", "1.5", nested.c_str()}) {
+        for (const char *field : {"run", "start_epoch", "failures", "submitted", "accelerators"}) {
+            BOOST_TEST(!isOk(decodeJobRecord({jobTable, "job-1", 9, withOdd(job, field, odd)})), field << " " << odd.substr(0, 30));
+        }
+        for (const char *field : {"epoch", "boot", "valid_until_microseconds", "lease_microseconds", "known_tasks", "run", "processors"}) {
+            BOOST_TEST(!isOk(decodeWorkerMessage(withOdd(message, field, odd))), field << " " << odd.substr(0, 30));
+        }
+        for (const char *field : {"boot", "clock_microseconds", "highest_epoch", "tasks_number", "index", "accelerators"}) {
+            BOOST_TEST(!isOk(decodeWorkerReport(withOdd(report, field, odd))), field << " " << odd.substr(0, 30));
+        }
+        for (const char *field : {"accelerators", "processors", "memory_megabytes"}) {
+            BOOST_TEST(!isOk(decodeWorkerInfo(withOdd(worker, field, odd))), field << " " << odd.substr(0, 30));
+        }
+    }
+    BOOST_TEST(!isOk(decodeJobSpec(nested)));
+}
+
 BOOST_AUTO_TEST_CASE(totalsFollowRecordsAndStaleRowsAreIgnored)
 {
     JobTable table;
