Refuse job rows with numbers or addresses out of range

Callers saw: no direct report. A row of another writer with a huge demand, estimate or time made sums of the planner overflow, and a count above 2^32 was taken over as a small one. Cause: decodeGraphSpec and decodeGraphProgress converted numbers unchecked, and left a record half changed when they failed. Change: numbers are read with the checked readers, checkGraphSpec bounds demands, estimates and times, also for submissions, and the slack of a job is bounded before its conversion.

--- a/src/graph/GraphCodec.cpp
+++ b/src/graph/GraphCodec.cpp
@@ -1,8 +1,11 @@
 #include "graph/GraphCodec.h"
 
+#include "core/Endpoint.h"
+#include "core/InputLimits.h"
+#include "core/JsonInput.h"
+
 #include <algorithm>
 #include <array>
-#include <nlohmann/json.hpp>
 
 namespace banyanlock
 {
@@ -43,15 +46,30 @@
     return json;
 }
 
+std::vector<std::uint32_t> stepNumbersOf(const Json &json)
+{
+    std::vector<std::uint32_t> numbers;
+    if (!json.is_array()) {
+        refuseJson("a", "must be a list");
+    }
+    for (const Json &number : json) {
+        numbers.push_back(readWhole<std::uint32_t>(number, "a"));
+    }
+    return numbers;
+}
+
 StepSpec stepFromJson(const Json &json)
 {
     StepSpec step;
-    step.tasks = json.at("n").get<std::uint32_t>();
+    step.tasks = readWhole<std::uint32_t>(json.at("n"), "n");
     const Json &demand = json.at("d");
-    step.demand = {demand.at(0).get<std::int64_t>(), demand.at(1).get<std::int64_t>(), demand.at(2).get<std::int64_t>()};
-    step.estimate = Duration(json.at("e").get<std::int64_t>());
-    step.after = json.value("a", std::vector<std::uint32_t>());
-    const auto flags = json.value("f", 0U);
+    step.demand = {readWhole<std::int64_t>(demand.at(0), "d"), readWhole<std::int64_t>(demand.at(1), "d"),
+                   readWhole<std::int64_t>(demand.at(2), "d")};
+    step.estimate = Duration(readWhole<std::int64_t>(json.at("e"), "e"));
+    if (const auto after = json.find("a"); after != json.end()) {
+        step.after = stepNumbersOf(*after);
+    }
+    const auto flags = json.contains("f") ? readWhole<std::uint32_t>(json["f"], "f") : 0;
     step.gang = (flags & 1U) != 0;
     step.preferOneRack = (flags & 2U) != 0;
     step.checkpoints = (flags & 4U) != 0;
@@ -59,10 +77,23 @@
     step.longRunning = (flags & 16U) != 0;
     step.requiredLabel = json.value("l", "");
     step.homeRack = json.value("h", "");
-    step.spreadLimit = json.value("s", 0U);
+    step.spreadLimit = json.contains("s") ? readWhole<std::uint32_t>(json["s"], "s") : 0;
     return step;
 }
 
+QueueTerms termsFromJson(const Json &json)
+{
+    QueueTerms terms;
+    terms.queue = json.at("queue").get<std::string>();
+    terms.workspace = json.at("workspace").get<std::string>();
+    terms.service = json.at("service").get<std::string>();
+    terms.priority = readWhole<std::uint32_t>(json.at("priority"), "priority");
+    terms.attemptLimit = readWhole<std::uint32_t>(json.at("attempts"), "attempts");
+    terms.slackFactor = readReal(json.at("slack"), "slack", 0.0, InputLimits::slackFactor);
+    terms.targetLatency = Duration(readWhole<std::int64_t>(json.at("target"), "target", 0, InputLimits::span.count()));
+    return terms;
+}
+
 Json unitToJson(const UnitKey &key, const UnitProgress &unit)
 {
     Json places = Json::array();
@@ -74,25 +105,40 @@
 
 void addUnit(const Json &json, GraphProgress &progress)
 {
-    const UnitKey key{json.at(0).get<std::uint32_t>(), json.at(1).get<std::uint32_t>(), json.at(2).get<std::uint32_t>()};
+    const auto numberAt = [&](std::size_t index) {
+        return readWhole<std::uint32_t>(json.at(index), "unit");
+    };
+    const UnitKey key{numberAt(0), numberAt(1), numberAt(2)};
     UnitProgress &unit = progress.units[key];
     unit.succeeded = json.at(3).get<bool>();
-    unit.failures = json.at(4).get<std::uint32_t>();
-    unit.run = json.at(5).get<std::uint32_t>();
+    unit.failures = numberAt(4);
+    unit.run = numberAt(5);
     unit.checkpoint = json.at(6).get<std::string>();
     for (const Json &place : json.at(7)) {
-        unit.places.push_back({{place.at(0).get<std::string>(), place.at(1).get<std::int64_t>()}, place.at(2).get<std::string>()});
+        const std::string agent = place.at(2).get<std::string>();
+        if (!Endpoint::parse(agent)) {
+            refuseJson("agent", "must be an IPv4 address with a port");
+        }
+        unit.places.push_back({{place.at(0).get<std::string>(), readWhole<std::int64_t>(place.at(1), "place")}, agent});
     }
 }
 
+bool isDemand(std::int64_t amount)
+{
+    return amount >= 0 && amount <= InputLimits::resource;
+}
+
 std::string checkStep(const StepSpec &step, std::size_t index)
 {
     const std::string name = "step " + std::to_string(index) + ": ";
     if (step.tasks == 0 || step.tasks > maxTasks) {
         return name + "number of tasks must be 1 to " + std::to_string(maxTasks);
     }
-    if (step.demand.processors < 0 || step.demand.memory < 0 || step.demand.accelerators < 0) {
-        return name + "resource demand of a task must not be negative";
+    if (!isDemand(step.demand.processors) || !isDemand(step.demand.memory) || !isDemand(step.demand.accelerators)) {
+        return name + "resource demand of a task must be 0 to " + std::to_string(InputLimits::resource);
+    }
+    if (step.estimate < Duration::zero() || step.estimate > InputLimits::span) {
+        return name + "estimate must be 0 to " + std::to_string(InputLimits::spanMilliseconds) + " ms";
     }
     for (const std::uint32_t earlier : step.after) {
         if (earlier >= index) {
@@ -136,26 +182,23 @@
 bool decodeGraphSpec(const std::string &text, GraphRecord &record)
 {
     try {
-        const Json json = Json::parse(text);
-        record.spec = {};
-        record.spec.payload = json.at("payload").get<std::string>();
+        const Json json = parseJson(text);
+        GraphSpec spec;
+        spec.payload = json.at("payload").get<std::string>();
         for (const Json &step : json.at("steps")) {
-            record.spec.steps.push_back(stepFromJson(step));
+            spec.steps.push_back(stepFromJson(step));
         }
-        QueueTerms &terms = record.terms;
-        terms.queue = json.at("queue").get<std::string>();
-        terms.workspace = json.at("workspace").get<std::string>();
-        terms.service = json.at("service").get<std::string>();
-        terms.priority = json.at("priority").get<std::uint32_t>();
-        terms.attemptLimit = json.at("attempts").get<std::uint32_t>();
-        terms.slackFactor = json.at("slack").get<double>();
-        terms.targetLatency = Duration(json.at("target").get<std::int64_t>());
-        record.acceptedUnixMilliseconds = json.at("accepted").get<std::int64_t>();
         if (const auto repeat = json.find("repeat"); repeat != json.end()) {
-            record.spec.repetition
-                = {repeat->at(0).get<std::uint32_t>(), repeat->at(1).get<std::int64_t>(), repeat->at(2).get<std::int64_t>()};
+            spec.repetition = {readWhole<std::uint32_t>(repeat->at(0), "repeat"), readWhole<std::int64_t>(repeat->at(1), "repeat"),
+                               readWhole<std::int64_t>(repeat->at(2), "repeat")};
         }
-        return checkGraphSpec(record.spec).empty();
+        if (!checkGraphSpec(spec).empty()) {
+            return false;
+        }
+        record.terms = termsFromJson(json);
+        record.acceptedUnixMilliseconds = readWhole<std::int64_t>(json.at("accepted"), "accepted", 0, InputLimits::unixMilliseconds);
+        record.spec = std::move(spec);
+        return true;
     } catch (const Json::exception &) {
         return false;
     }
@@ -174,14 +217,14 @@
 std::optional<GraphProgress> decodeGraphProgress(const std::string &text)
 {
     try {
-        const Json json = Json::parse(text);
+        const Json json = parseJson(text);
         GraphProgress progress;
         const auto state = std::find(stateNames.begin(), stateNames.end(), json.at("state").get<std::string>());
         if (state == stateNames.end()) {
             return std::nullopt;
         }
         progress.state = static_cast<GraphState>(state - stateNames.begin());
-        progress.finishedOccurrences = json.at("finished").get<std::uint32_t>();
+        progress.finishedOccurrences = readWhole<std::uint32_t>(json.at("finished"), "finished");
         for (const Json &unit : json.at("units")) {
             addUnit(unit, progress);
         }
@@ -202,6 +245,11 @@
     if (spec.repetition.count > maxOccurrences || (spec.repetition.count > 1 && spec.repetition.intervalMilliseconds <= 0)) {
         return "repetition needs a positive interval and at most " + std::to_string(maxOccurrences) + " occurrences";
     }
+    const std::int64_t first = spec.repetition.firstUnixMilliseconds;
+    const std::int64_t interval = spec.repetition.intervalMilliseconds;
+    if (first < 0 || first > InputLimits::unixMilliseconds || interval < 0 || interval > InputLimits::spanMilliseconds) {
+        return "repetition needs a first time from 1970 to 2100 and an interval of at most ten years";
+    }
     std::uint32_t total = 0;
     for (std::size_t index = 0; index < spec.steps.size(); ++index) {
         if (std::string reason = checkStep(spec.steps[index], index); !reason.empty()) {
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -1,6 +1,7 @@
 // PoolScheduler: waiting units and their placement.
 
 #include "core/Assert.h"
+#include "core/InputLimits.h"
 #include "core/Log.h"
 #include "pool/PoolScheduler.h"
 
@@ -67,8 +68,9 @@
     const Duration age = fromMilliseconds(unixNow(now) - begin);
     const std::vector<Duration> criticalPaths = criticalPathsOf(job.spec);
     const Duration longest = *std::ranges::max_element(criticalPaths);
-    const auto allowed = static_cast<std::int64_t>(job.terms.slackFactor * static_cast<double>(longest.count()));
-    return Duration(allowed) + job.terms.targetLatency - age - criticalPaths[step];
+    const double allowed = job.terms.slackFactor * static_cast<double>(longest.count());
+    const double maxAllowed = static_cast<double>(InputLimits::span.count()); // an upper bound that fits into a span
+    return Duration(static_cast<std::int64_t>(std::min(allowed, maxAllowed))) + job.terms.targetLatency - age - criticalPaths[step];
 }
 
 std::set<std::string> PoolScheduler::guaranteedJobs() const
--- a/tests/graph/GraphCodecTest.cpp
+++ b/tests/graph/GraphCodecTest.cpp
@@ -96,6 +96,60 @@
     BOOST_TEST(decodeGraphProgress(encodeGraphProgress(progress)).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(specRowsWithImpossibleNumbersAreRejected)
+{
+    const std::string text = encodeGraphSpec(makeRecord());
+    GraphRecord record;
+    BOOST_REQUIRE(decodeGraphSpec(text, record));
+    for (const std::string field :
+         {R"("n":4)", R"("d":[500,256,1])", R"("e":900000)", R"("a":[0])", R"("s":2)", R"("priority":1)", R"("attempts":3)",
+          R"("slack":1.5)", R"("target":500000)", R"("accepted":1700000000001)", R"("repeat":[3,1700000000000,4500])"}) {
+        const std::size_t position = text.find(field);
+        BOOST_REQUIRE_MESSAGE(position != std::string::npos, field);
+        const std::size_t number = position + field.find_last_of(":[,") + 1;
+        const std::size_t end = text.find_first_of(",]}", number);
+        for (const std::string odd : {"1e300", "-1e300", "1e18", "-9223372036854775808", "9223372036854775807", "18446744073709551616",
+                                      "1e400", "null", "\"7\"", "[7]", "{}"}) {
+            std::string changed = text;
+            changed.replace(number, end - number, odd);
+            BOOST_TEST(!decodeGraphSpec(changed, record), field << " as " << odd);
+        }
+    }
+}
+
+BOOST_AUTO_TEST_CASE(progressRowsWithImpossibleNumbersAreRejected)
+{
+    for (const std::string odd : {"1e300", "-1", "4294967296", "18446744073709551616", "1.5", "1e400", "null", "[7]"}) {
+        for (const std::string unit :
+             {"[X,0,0,false,0,1,\"\",[]]", "[0,X,0,false,0,1,\"\",[]]", "[0,0,X,false,0,1,\"\",[]]", "[0,0,0,false,X,1,\"\",[]]",
+              "[0,0,0,false,0,X,\"\",[]]", "[0,0,0,false,0,1,\"\",[[\"w\",-9223372036854775809,\"10.0.0.1:7000\"]]]"}) {
+            std::string text = R"({"state":"running","finished":0,"units":[)" + unit + "]}";
+            if (const std::size_t position = text.find('X'); position != std::string::npos) {
+                text.replace(position, 1, odd);
+            }
+            BOOST_TEST(!decodeGraphProgress(text).has_value(), text);
+        }
+    }
+    for (const std::string address : {"", "10.0.0.1:70000", "10.0.0.1:0", "unix:/socket", "10.0.0.1"}) {
+        const std::string text = R"({"state":"running","finished":0,"units":[[0,0,0,false,0,1,"",[["w",17,")" + address + R"("]]]]})";
+        BOOST_TEST(!decodeGraphProgress(text).has_value(), text);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(deeplyNestedRowsAreRejected)
+{
+    constexpr std::size_t levels = 100'000;
+    const std::string nested = std::string(levels, '[') + std::string(levels, ']');
+    GraphRecord record;
+    for (const std::string &text : {nested, std::string(levels, '['), R"({"units":)" + nested + R"(,"state":"queued","finished":0})"}) {
+        BOOST_TEST(!decodeGraphProgress(text).has_value());
+        BOOST_TEST(!decodeGraphSpec(text, record));
+    }
+    std::string text = encodeGraphSpec(makeRecord());
+    text.insert(1, R"("extra":)" + nested + ",");
+    BOOST_TEST(!decodeGraphSpec(text, record));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
