Skip progress rows that do not match the steps of their job

Callers saw: one odd row under job/ ended each entry that acquired the pool, one after another. Cause: a new owner restores running units from the rows and used their step as an index into the specification unchecked. Change: progress is taken only if its units, occurrences and numbers of places are those of the specification, whichever row comes first; a later row of the same key that matches is taken.

--- a/src/graph/GraphCodec.cpp
+++ b/src/graph/GraphCodec.cpp
@@ -260,4 +260,17 @@
     return total > maxTasks ? "more than " + std::to_string(maxTasks) + " tasks" : "";
 }
 
+bool matches(const GraphProgress &progress, const GraphSpec &spec)
+{
+    const std::uint32_t occurrences = occurrencesOf(spec);
+    return progress.finishedOccurrences <= occurrences && std::ranges::all_of(progress.units, [&](const auto &entry) {
+               const auto &[key, unit] = entry;
+               if (key.occurrence >= occurrences || key.step >= spec.steps.size()) {
+                   return false;
+               }
+               const StepSpec &step = spec.steps[key.step];
+               return key.index < unitsOf(step) && (unit.places.empty() || unit.places.size() == membersOf(step));
+           });
+}
+
 } // namespace banyanlock
--- a/src/graph/GraphCodec.h
+++ b/src/graph/GraphCodec.h
@@ -34,4 +34,9 @@
 /// @return Empty if it is valid, else the reason, with the step that is invalid if any.
 std::string checkGraphSpec(const GraphSpec &spec);
 
+/// @param progress Progress of a job.
+/// @param spec Specification of the job.
+/// @return Whether all units are units of the specification and have as many places as tasks, or none.
+bool matches(const GraphProgress &progress, const GraphSpec &spec);
+
 } // namespace banyanlock
--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -8,6 +8,15 @@
 
 namespace banyanlock
 {
+namespace
+{
+
+void reportUnreadable(const TableRow &row, const std::string &reason)
+{
+    Log::warning("job_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}, {"reason", reason}});
+}
+
+} // namespace
 
 bool GraphTable::adoptSpec(GraphRecord &record, const TableRow &row)
 {
@@ -15,9 +24,14 @@
         return false; // the specification row is written only once
     }
     if (!decodeGraphSpec(row.value, record)) {
-        Log::warning("job_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}});
+        reportUnreadable(row, "not a valid specification");
         return false;
     }
+    if (record.progressVersion != 0 && !matches(record.progress, record.spec)) {
+        reportUnreadable(row, "earlier progress names units that are not in it");
+        record.progress = {};
+        record.progressVersion = 0;
+    }
     record.specVersion = row.version;
     return true;
 }
@@ -28,8 +42,8 @@
         return false;
     }
     const std::optional<GraphProgress> progress = decodeGraphProgress(row.value);
-    if (!progress) {
-        Log::warning("job_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}});
+    if (!progress || (record.specVersion != 0 && !matches(*progress, record.spec))) {
+        reportUnreadable(row, progress ? "names units that are not in the specification" : "not valid progress");
         return false;
     }
     record.progress = *progress;
--- /dev/null
+++ b/tests/pool/ForeignRowsTest.cpp
@@ -0,0 +1,139 @@
+#include "PoolWorld.h"
+
+#include "graph/GraphCodec.h"
+#include "pool/OwnerRow.h"
+
+#include <boost/test/unit_test.hpp>
+#include <limits>
+
+using namespace banyanlock;
+
+namespace
+{
+
+constexpr Duration startupTime = fromMilliseconds(3000);
+constexpr Duration takeoverTime = fromMilliseconds(12000);
+constexpr std::uint64_t highestNumber = std::numeric_limits<std::uint64_t>::max();
+
+void putRow(PoolWorld &world, const std::string &key, const std::string &value)
+{
+    TableTransaction transaction;
+    transaction.writes = {{std::string(PoolRows::table), key, value}};
+    BOOST_REQUIRE(world.tableService().commit(transaction).state == CommitState::Committed);
+}
+
+/// Checks that a job submitted now completes, and that no invariant was violated.
+void checkPoolWorks(PoolWorld &world, const std::string &job)
+{
+    world.submit(job, makeJob(makeStep(2, 1, 500)), "urgent", 1);
+    world.run(fromMilliseconds(5000));
+    BOOST_TEST(static_cast<int>(world.stateOf(job)) == static_cast<int>(GraphState::Completed), job);
+    for (const std::string &violation : world.violations()) {
+        BOOST_ERROR(violation);
+    }
+}
+
+void checkOwnerRow(const std::string &value)
+{
+    PoolWorld world({});
+    world.run(startupTime);
+    putRow(world, std::string(PoolRows::ownerKey), value);
+    world.run(takeoverTime);
+    checkPoolWorks(world, "job1");
+    world.restartEntry(0);
+    world.restartEntry(1);
+    world.restartEntry(2);
+    world.run(takeoverTime);
+    checkPoolWorks(world, "job2");
+}
+
+/// A mirror of its own, without a process around it.
+struct MirrorFixture {
+    TimePoint now{};
+    VirtualLoop loop{now};
+    VirtualTableService service;
+    Random random{1};
+    VirtualStore store{loop, service, random};
+    Counters counters;
+    PoolMirror<WorldPlatform> mirror{store, loop, counters};
+
+    void adopt(const std::string &key, std::uint64_t version, const std::string &value)
+    {
+        mirror.adopt({{std::string(PoolRows::table), key, version, value, false}});
+    }
+};
+
+GraphRecord twoStepRecord()
+{
+    GraphRecord record;
+    record.spec = makeJob(makeStep(2, 1, 500));
+    record.spec.steps.push_back(makeStep(3, 1, 500));
+    record.spec.steps.back().gang = true;
+    record.terms.attemptLimit = 3;
+    return record;
+}
+
+GraphProgress progressWith(const UnitKey &key, std::size_t places)
+{
+    GraphProgress progress;
+    progress.state = GraphState::Running;
+    UnitProgress &unit = progress.units[key];
+    unit.run = 1;
+    unit.places.assign(places, {{"worker-0", 17}, "10.0.0.1:7000"});
+    return progress;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(ForeignRows)
+
+BOOST_AUTO_TEST_CASE(progressRowThatDoesNotMatchItsStepsEndsNoOwner)
+{
+    for (const auto &[key, places] :
+         std::vector<std::pair<UnitKey, std::size_t>>{{{0, 4'000'000'000U, 0}, 1}, {{0, 0, 0}, 3}, {{9, 0, 0}, 1}}) {
+        PoolWorld world({});
+        world.run(startupTime);
+        putRow(world, PoolRows::keyOf(PoolRows::specPrefix, "odd"), encodeGraphSpec(twoStepRecord()));
+        putRow(world, PoolRows::keyOf(PoolRows::progressPrefix, "odd"), encodeGraphProgress(progressWith(key, places)));
+        world.restartEntry(0);
+        world.restartEntry(1);
+        world.restartEntry(2);
+        world.run(takeoverTime);
+        checkPoolWorks(world, "job1");
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(progressRowIsTakenOnlyIfItMatchesTheSpecification, MirrorFixture)
+{
+    const std::string specKey = PoolRows::keyOf(PoolRows::specPrefix, "odd");
+    const std::string progressKey = PoolRows::keyOf(PoolRows::progressPrefix, "odd");
+    std::uint64_t version = 1;
+    const auto isTaken = [&](const GraphProgress &progress, bool progressFirst) {
+        mirror.jobs().clear();
+        if (progressFirst) {
+            adopt(progressKey, ++version, encodeGraphProgress(progress));
+        }
+        adopt(specKey, ++version, encodeGraphSpec(twoStepRecord()));
+        if (!progressFirst) {
+            adopt(progressKey, ++version, encodeGraphProgress(progress));
+        }
+        return mirror.jobs().find("odd") != nullptr && mirror.jobs().open().contains("odd");
+    };
+    for (const bool progressFirst : {false, true}) {
+        BOOST_TEST(isTaken(progressWith({0, 0, 1}, 1), progressFirst));
+        BOOST_TEST(isTaken(progressWith({0, 1, 0}, 3), progressFirst));
+        BOOST_TEST(isTaken(progressWith({0, 1, 0}, 0), progressFirst));
+        BOOST_TEST(!isTaken(progressWith({0, 2, 0}, 1), progressFirst)); // step
+        BOOST_TEST(!isTaken(progressWith({0, 0, 2}, 1), progressFirst)); // index
+        BOOST_TEST(!isTaken(progressWith({1, 0, 0}, 1), progressFirst)); // occurrence
+        BOOST_TEST(!isTaken(progressWith({0, 0, 0}, 2), progressFirst)); // places of a task
+        BOOST_TEST(!isTaken(progressWith({0, 1, 0}, 2), progressFirst)); // places of a gang
+        GraphProgress ahead;
+        ahead.finishedOccurrences = 2;
+        BOOST_TEST(!isTaken(ahead, progressFirst));
+    }
+    adopt(progressKey, ++version, encodeGraphProgress(progressWith({0, 0, 1}, 1)));
+    BOOST_TEST((mirror.jobs().find("odd") != nullptr)); // a later row of the same key is taken
+}
+
+BOOST_AUTO_TEST_SUITE_END()
