Skip rows whose ids are no job ids

Callers saw: no direct report. The key cancel/ID of a foreign job with an id of 195 bytes is too long for the table service, which refuses the owner's whole transaction, and the owner repeats it for good. Cause: ids in keys of rows were taken over as they are; only submissions checked them. Change: the check of submissions moves to PoolRows and holds for rows; a call for such an id is answered without a read.

--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -66,6 +66,10 @@
     if (!id) {
         return {};
     }
+    if (!PoolRows::isJobId(*id)) {
+        reportUnreadable(row, "not the id of a job");
+        return {};
+    }
     if (row.erased) {
         if (!isSpec) {
             return {};
--- a/src/pool/PoolRows.h
+++ b/src/pool/PoolRows.h
@@ -2,6 +2,8 @@
 
 #include "core/TableTypes.h"
 
+#include <algorithm>
+#include <cctype>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -34,6 +36,16 @@
     {
         return key.starts_with(prefix) ? std::optional(std::string(key.substr(prefix.size()))) : std::nullopt;
     }
+
+    /// @param id Name to check.
+    /// @return Whether it is a job id: 1 to 64 letters and digits, so that each of the job's keys is valid in the table service.
+    static bool isJobId(std::string_view id)
+    {
+        constexpr std::size_t maxLength = 64;
+        return !id.empty() && id.size() <= maxLength && std::ranges::all_of(id, [](unsigned char character) {
+            return std::isalnum(character) != 0;
+        });
+    }
 };
 
 /// Keys of the rows that operators write; the platform adapter provides them.
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -174,7 +174,7 @@
         }
         Result<GraphSpec> spec = Platform::decodeSubmission(exchange->call.body);
         std::string problem = isOk(spec) ? checkGraphSpec(valueOf(spec)) : errorOf(spec).detail;
-        if (problem.empty() && !isJobId(exchange->job)) {
+        if (problem.empty() && !PoolRows::isJobId(exchange->job)) {
             problem = "job id must be 1 to 64 letters and digits";
         }
         if (!problem.empty()) {
@@ -190,14 +190,6 @@
         recordJob(exchange);
     }
 
-    static bool isJobId(const std::string &id)
-    {
-        constexpr std::size_t maxLength = 64;
-        return !id.empty() && id.size() <= maxLength && std::ranges::all_of(id, [](unsigned char character) {
-            return std::isalnum(character) != 0;
-        });
-    }
-
     void recordJob(const ExchangePointer &exchange)
     {
         const std::string table(PoolRows::table);
@@ -287,6 +279,12 @@
             onFound(exchange, *job);
             return;
         }
+        if (!PoolRows::isJobId(exchange->job)) {
+            CallAnswer unknown;
+            unknown.outcome = CallOutcome::NoSuchJob;
+            answer(exchange, std::move(unknown));
+            return;
+        }
         // Another entry may have accepted the job after the last update of the mirror.
         const std::string table(PoolRows::table);
         m_store.read(table, PoolRows::keyOf(PoolRows::specPrefix, exchange->job), [this, exchange](const RowResult &spec) {
--- a/tests/pool/ForeignRowsTest.cpp
+++ b/tests/pool/ForeignRowsTest.cpp
@@ -136,4 +136,26 @@
     BOOST_TEST((mirror.jobs().find("odd") != nullptr)); // a later row of the same key is taken
 }
 
+BOOST_FIXTURE_TEST_CASE(rowsWithIdsThatAreNoJobIdsAreSkipped, MirrorFixture)
+{
+    // The keys of such a job would be too long for the table service, or ambiguous.
+    for (const std::string &id : {std::string(), std::string(195, 'a'), std::string("a.b"), std::string("a/b"), std::string("\xc3\xa4")}) {
+        adopt(PoolRows::keyOf(PoolRows::specPrefix, id), 2, encodeGraphSpec(twoStepRecord()));
+        adopt(PoolRows::keyOf(PoolRows::progressPrefix, id), 3, encodeGraphProgress({}));
+        BOOST_TEST((mirror.jobs().find(id) == nullptr), id);
+    }
+    BOOST_TEST(mirror.jobs().open().empty());
+}
+
+BOOST_AUTO_TEST_CASE(callForAnIdThatIsNoJobIdNeedsNoTableService)
+{
+    PoolWorld world({});
+    world.run(startupTime);
+    world.partitionEntryFromStore(0, true);
+    const std::string id(500, 'a');
+    world.queryState(id, 0);
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor(id).outcome) == static_cast<int>(CallOutcome::NoSuchJob));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
