Acquire the pool past an owner row of another writer

Callers saw: an owner row with the highest epoch ended every entry again and again; an unreadable one, or one with an endless renewal interval, left the pool without an owner for good (LOST). Cause: epoch + 1 wrapped to 0, on which acquireOwnership asserts; the version of an unreadable row was not kept, so that each attempt failed its check; the renewal interval of the row was waited for unbounded. Evidence: before, ownerRowWithTheHighestEpochEndsNoEntry ended with SIGABRT; unreadableOwnerRowLocksNobodyOut and ownerRowWithAnEndlessRenewalIntervalLocksNobodyOut ended with no job done. The test with an epoch ahead of all agents passed before. Change: a row that can't be read, with an epoch above its version or an interval above a minute, counts as vacant without a release, so a new owner waits for leases like after a silent owner. New epochs are the row's version plus one: versions only rise, so an epoch exceeds all earlier ones even if the row was set back.

--- a/src/pool/OwnerRow.cpp
+++ b/src/pool/OwnerRow.cpp
@@ -1,9 +1,15 @@
 #include "pool/OwnerRow.h"
 
-#include <nlohmann/json.hpp>
+#include "core/JsonInput.h"
 
 namespace banyanlock
 {
+namespace
+{
+
+constexpr std::int64_t maxRenewalMilliseconds = 60'000; // fifty times the longest interval; others would wait for it before a takeover
+
+} // namespace
 
 std::string encodeOwnerRow(const OwnerRow &row)
 {
@@ -13,16 +19,21 @@
                           {"settled", row.earlierOwnersExpired},
                           {"renewal_ms", row.renewalMilliseconds},
                           {"beat", row.writeNumber}}
-        .dump();
+        .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
-std::optional<OwnerRow> decodeOwnerRow(const std::string &text)
+std::optional<OwnerRow> decodeOwnerRow(const std::string &text, std::uint64_t version)
 {
     try {
-        const nlohmann::json json = nlohmann::json::parse(text);
-        return OwnerRow{json.at("owner").get<std::string>(),       json.at("incarnation").get<std::uint64_t>(),
-                        json.at("epoch").get<std::uint64_t>(),     json.at("settled").get<bool>(),
-                        json.value("renewal_ms", std::int64_t{0}), json.at("beat").get<std::uint64_t>()};
+        const nlohmann::json json = parseJson(text);
+        OwnerRow row;
+        row.owner = json.at("owner").get<std::string>();
+        row.incarnation = readWhole<std::uint64_t>(json.at("incarnation"), "incarnation");
+        row.epoch = readWhole<std::uint64_t>(json.at("epoch"), "epoch", 0, version);
+        row.earlierOwnersExpired = json.at("settled").get<bool>();
+        row.renewalMilliseconds = readMeasure(json, "renewal_ms", 0, 0, maxRenewalMilliseconds);
+        row.writeNumber = readWhole<std::uint64_t>(json.at("beat"), "beat");
+        return row;
     } catch (const nlohmann::json::exception &) {
         return std::nullopt;
     }
--- a/src/pool/OwnerRow.h
+++ b/src/pool/OwnerRow.h
@@ -12,7 +12,7 @@
 struct OwnerRow {
     std::string owner; ///< Name of the owning entry; empty after ownership was released.
     std::uint64_t incarnation = 0; ///< Incarnation number of the owner's process.
-    std::uint64_t epoch = 0; ///< Fencing token; increases with each change of the owner.
+    std::uint64_t epoch = 0; ///< Fencing token; increases with each change of the owner and is at most the row's version.
     bool earlierOwnersExpired = true; ///< No earlier owner can renew leases any more.
     std::int64_t renewalMilliseconds = 0; ///< Maximum interval between the owner's writes while the table service responds normally.
     std::uint64_t writeNumber = 0; ///< Number of the owner's transaction; distinguishes its own writes.
@@ -26,7 +26,8 @@
 std::string encodeOwnerRow(const OwnerRow &row);
 
 /// @param text Text of the row.
-/// @return The row, or nothing if the text is not a valid owner row.
-std::optional<OwnerRow> decodeOwnerRow(const std::string &text);
+/// @param version Version of the row. Each epoch was acquired in a transaction of its own, so no epoch exceeds it.
+/// @return The row, or nothing if the text is not a valid owner row of that version.
+std::optional<OwnerRow> decodeOwnerRow(const std::string &text, std::uint64_t version);
 
 } // namespace banyanlock
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -292,10 +292,12 @@
         if (row.version <= m_ownerVersion) {
             return;
         }
-        const std::optional<OwnerRow> owner = decodeOwnerRow(row.value);
+        std::optional<OwnerRow> owner = decodeOwnerRow(row.value, row.version);
         if (!owner) {
+            // The pool has no known owner and can be acquired, like after the owner's silence: earlier owners may still renew leases.
             Log::warning("owner_row_unreadable", {{"version", static_cast<std::int64_t>(row.version)}});
-            return;
+            owner = OwnerRow();
+            owner->earlierOwnersExpired = false;
         }
         if (owner->epoch != m_owner.epoch) {
             Log::info("owner_changed", {{"owner", owner->owner}, {"epoch", static_cast<std::int64_t>(owner->epoch)}});
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -224,8 +224,9 @@
 
     void tryAcquire(const OwnerRow &row, TimePoint now, Duration silence)
     {
-        const OwnerRow next{m_name, m_incarnation, row.epoch + 1, row.owner.empty() && row.earlierOwnersExpired, row.renewalMilliseconds,
-                            0};
+        // Above the row's version, an epoch exceeds all earlier ones, even if another writer has changed the row.
+        const OwnerRow next{
+            m_name, m_incarnation, m_mirror.ownerVersion() + 1, row.owner.empty() && row.earlierOwnersExpired, row.renewalMilliseconds, 0};
         Log::info(
             "ownership_attempt",
             {{"epoch", static_cast<std::int64_t>(next.epoch)}, {"previous_owner", row.owner}, {"silent_ms", toMilliseconds(silence)}});
@@ -300,7 +301,7 @@
             loseOwnership("the owner's row does not exist");
             return;
         }
-        const std::optional<OwnerRow> present = decodeOwnerRow(found->value);
+        const std::optional<OwnerRow> present = decodeOwnerRow(found->value, found->version);
         if (present && *present == m_writtenRow) {
             m_mirror.adopt(result.rows);
             finish(found->version, sentAt, now); // an earlier copy has taken effect
--- a/tests/pool/ForeignRowsTest.cpp
+++ b/tests/pool/ForeignRowsTest.cpp
@@ -87,6 +87,27 @@
 
 BOOST_AUTO_TEST_SUITE(ForeignRows)
 
+BOOST_AUTO_TEST_CASE(ownerRowWithTheHighestEpochEndsNoEntry)
+{
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, highestNumber, true, 300, 1}));
+}
+
+BOOST_AUTO_TEST_CASE(ownerRowWithAnEpochAheadOfAllAgentsLocksNobodyOut)
+{
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, highestNumber / 2, true, 300, highestNumber}));
+}
+
+BOOST_AUTO_TEST_CASE(unreadableOwnerRowLocksNobodyOut)
+{
+    checkOwnerRow("{");
+}
+
+BOOST_AUTO_TEST_CASE(ownerRowWithAnEndlessRenewalIntervalLocksNobodyOut)
+{
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, 1'000'000'000'000'000, 1}));
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, -1'000'000'000'000'000, 1}));
+}
+
 BOOST_AUTO_TEST_CASE(progressRowThatDoesNotMatchItsStepsEndsNoOwner)
 {
     for (const auto &[key, places] :
