Skip agent rows whose keys are no addresses

Callers saw: no direct report. The owner called impossible addresses for good, and a second spelling of an agent's address counted its worker twice. Cause: each key under worker/ was taken for an address. Change: only an IPv4 address with a port, in its usual spelling, names an agent; another key is skipped with one log line for each write of it.

--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Endpoint.h"
 #include "core/Log.h"
 #include "pool/GraphTable.h"
 #include "pool/OwnerRow.h"
@@ -277,8 +278,11 @@
         } else if (row.key == PoolRows::ownerKey) {
             adoptOwner(row);
         } else if (const auto agent = PoolRows::nameIn(row.key, PoolRows::workerPrefix)) {
+            const std::optional<Endpoint> endpoint = Endpoint::parse(*agent);
             if (row.erased) {
                 m_agents.erase(*agent);
+            } else if (!endpoint || endpoint->toString() != *agent) { // a second spelling would count the same worker twice
+                Log::warning("agent_row_ignored", {{"row", row.key}, {"reason", std::string("not an IPv4 address with a port")}});
             } else {
                 m_agents.insert(*agent);
             }
--- a/tests/pool/ForeignRowsTest.cpp
+++ b/tests/pool/ForeignRowsTest.cpp
@@ -179,4 +179,18 @@
     BOOST_TEST(static_cast<int>(world.answerFor(id).outcome) == static_cast<int>(CallOutcome::NoSuchJob));
 }
 
+BOOST_FIXTURE_TEST_CASE(agentsWithImpossibleAddressesAreSkipped, MirrorFixture)
+{
+    std::uint64_t version = 0;
+    for (const std::string &address :
+         {std::string(), std::string("10.0.0.1"), std::string("10.0.0.1:0"), std::string("10.0.0.1:70000"), std::string("10.0.0.1:-1"),
+          std::string("10.0.0.1:07000"), std::string("unix:/tmp/socket"), std::string("*:7000"), std::string("host:7000"),
+          std::string(193, '9'), std::string("10.0.0.1:7000\0", 14), std::string("10.0.0.1:99999999999999999999")}) {
+        adopt(PoolRows::keyOf(PoolRows::workerPrefix, address), ++version, "{}");
+        BOOST_TEST(mirror.agents().empty(), address);
+    }
+    adopt(PoolRows::keyOf(PoolRows::workerPrefix, "10.0.0.1:7000"), ++version, "[[[[");
+    BOOST_TEST(mirror.agents().contains("10.0.0.1:7000"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
