Take answers of the metadata store without a version as unavailable

Callers saw: no direct report. An answer with a field of another type ended the process, and {} counted as a current table without rows, or as proof that a job does not exist. Cause: hasMore was read with a throwing accessor outside of any handler; version and rows were optional. A row with an impossible version is skipped, the others hold.

--- a/tests/platform/RowStoreTest.cpp
+++ b/tests/platform/RowStoreTest.cpp
@@ -98,6 +98,49 @@
     BOOST_TEST(static_cast<int>(received.state) == static_cast<int>(FollowState::Unavailable));
 }
 
+BOOST_AUTO_TEST_CASE(answersWithoutAVersionOrRowsAreUnavailable)
+{
+    for (const char *body : {"{}", "[]", R"({"rowVersion":-1,"rows":[]})", R"({"rowVersion":1e300,"rows":[]})",
+                             R"({"rowVersion":9,"rows":{}})", R"({"rowVersion":9,"rows":[],"hasMore":"no"})"}) {
+        store.bodies = {body};
+        FollowResult followed;
+        client.follow("op", 3, fromMilliseconds(50), [&](const FollowResult &result) {
+            followed = result;
+            loop.stop();
+        });
+        loop.run();
+        if (std::string(body).find("hasMore") == std::string::npos) {
+            BOOST_TEST(static_cast<int>(followed.state) == static_cast<int>(FollowState::Unavailable), body);
+        }
+        ScanResult scanned;
+        scanned.available = true;
+        client.readTable("op", [&](const ScanResult &result) {
+            scanned = result;
+            loop.stop();
+        });
+        loop.run();
+        BOOST_TEST(!scanned.available, body);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(rowWithAnImpossibleVersionIsSkipped)
+{
+    const std::string good = R"({"table":"op","part":"","key":"config","rowVersion":6,"value":""})";
+    for (const char *version : {"1e300", "-1", "1.5", "18446744073709551616", "\"6\"", "null", "[6]"}) {
+        store.bodies = {R"({"rows":[{"table":"op","part":"","key":"odd","value":"","rowVersion":)" + std::string(version) + "}," + good
+                        + R"(],"rowVersion":9})"};
+        FollowResult received;
+        client.follow("op", 3, fromMilliseconds(50), [&](const FollowResult &result) {
+            received = result;
+            loop.stop();
+        });
+        loop.run();
+        BOOST_TEST(static_cast<int>(received.state) == static_cast<int>(FollowState::UpToDate), version);
+        BOOST_REQUIRE_MESSAGE(received.rows.size() == 1U, version);
+        BOOST_TEST(received.rows.front().key == "config");
+    }
+}
+
 BOOST_AUTO_TEST_CASE(tableIsReadPageByPage)
 {
     store.bodies = {R"({"rows":[{"table":"pool","part":"","key":"a","rowVersion":5,"value":""}],"hasMore":true,"rowVersion":9})",
