Skip unreadable rows of the table service one by one

Callers saw: one row of the cells table that is not an object ended each entry that read it; one odd row failed the whole read, which was then repeated for good. Cause: cell and claim rows were read with throwing accessors outside of any handler; decodeScan gave up at the first odd row. Evidence: before, cellRowsOfAnotherWriterEndNoEntry ended with type_error.306 and unreadableRowIsSkippedAndOthersAreRead failed at its first row. Claim rows have no test of their own. Change: a row that can't be read is skipped with a log line; such a cell has no known owner from that version on, and such a claim is held.

--- a/src/entry/ClaimStore.cpp
+++ b/src/entry/ClaimStore.cpp
@@ -1,8 +1,8 @@
 #include "entry/ClaimStore.h"
 
+#include "core/JsonInput.h"
 #include "core/Log.h"
 
-#include <nlohmann/json.hpp>
 #include <optional>
 #include <utility>
 
@@ -39,28 +39,36 @@
 
 ClaimResult readAnswer(const Json &row)
 {
+    constexpr int maxStatus = 999;
     ClaimResult result;
     result.state = ClaimState::Answered;
-    result.answer.status = row.value("status", 0);
+    result.answer.status = readWhole<int>(row.at("status"), "status", 0, maxStatus);
     result.answer.contentType = row.value("content_type", "");
-    const auto bytes = row.value("body", std::vector<std::uint8_t>());
-    result.answer.body = std::make_shared<const std::string>(bytes.begin(), bytes.end());
+    std::string body;
+    if (const auto bytes = row.find("body"); bytes != row.end()) {
+        for (const Json &byte : *bytes) {
+            body += static_cast<char>(readWhole<std::uint8_t>(byte, "body"));
+        }
+    }
+    result.answer.body = std::make_shared<const std::string>(std::move(body));
     return result;
 }
 
 ClaimResult parseClaimRow(const std::string &text, const KeyClaim &claim, bool mayBeOwnClaim)
 {
-    const Json row = Json::parse(text, nullptr, false);
-    if (row.is_discarded()) {
+    try {
+        const Json row = parseJson(text);
+        if (mayBeOwnClaim && row.at("holder").get<std::string>() == claim.holder) {
+            return {ClaimState::Acquired, {}};
+        }
+        if (readWhole<std::uint64_t>(row.at("body_hash"), "body_hash") != claim.bodyHash) {
+            return {ClaimState::BodyMismatch, {}};
+        }
+        return row.contains("status") ? readAnswer(row) : ClaimResult{ClaimState::Held, {}};
+    } catch (const Json::exception &error) {
+        Log::warning("claim_row_unreadable", {{"reason", std::string(error.what())}});
         return {ClaimState::Held, {}};
     }
-    if (mayBeOwnClaim && row.value("holder", "") == claim.holder) {
-        return {ClaimState::Acquired, {}};
-    }
-    if (row.value("body_hash", std::uint64_t(0)) != claim.bodyHash) {
-        return {ClaimState::BodyMismatch, {}};
-    }
-    return row.contains("status") ? readAnswer(row) : ClaimResult{ClaimState::Held, {}};
 }
 
 } // namespace
--- a/src/entry/StoreMirror.cpp
+++ b/src/entry/StoreMirror.cpp
@@ -1,11 +1,11 @@
 #include "entry/StoreMirror.h"
 
+#include "core/JsonInput.h"
 #include "core/Log.h"
 #include "schedule/CellTable.h"
 #include "schedule/JobCodec.h"
 #include "schedule/WorkerCodec.h"
 
-#include <nlohmann/json.hpp>
 #include <utility>
 
 namespace banyanlock
@@ -132,11 +132,19 @@
 void StoreMirror::adoptCellRow(const TableRow &row)
 {
     CellRow &stored = m_cells[row.key];
-    const nlohmann::json json = nlohmann::json::parse(row.value, nullptr, false);
-    if (json.is_discarded() || row.version <= stored.version) {
+    if (row.version <= stored.version) {
         return;
     }
-    stored = {json.value("entry", ""), json.value("incarnation", std::uint64_t(0)), row.version};
+    try {
+        const nlohmann::json json = parseJson(row.value);
+        CellRow cell{json.at("entry").get<std::string>(), 0, row.version};
+        readField(json, "incarnation", cell.incarnation);
+        stored = std::move(cell);
+    } catch (const nlohmann::json::exception &error) {
+        // The cell has no known owner, and its epoch, the version of its row, has risen.
+        Log::warning("cell_row_unreadable", {{"cell", row.key}, {"reason", std::string(error.what())}});
+        stored = {"", 0, row.version};
+    }
 }
 
 std::vector<Contract> StoreMirror::contracts() const
--- a/src/store/TableCodec.cpp
+++ b/src/store/TableCodec.cpp
@@ -1,7 +1,9 @@
 #include "store/TableCodec.h"
 
+#include "core/JsonInput.h"
+#include "core/Log.h"
+
 #include <cctype>
-#include <nlohmann/json.hpp>
 
 namespace banyanlock
 {
@@ -15,6 +17,16 @@
     return {ResultCode::MalformedRequest, error.what()};
 }
 
+/// Appends a row. Skips an unreadable row and logs a warning.
+void appendRow(const Json &json, std::vector<TableRow> &rows)
+{
+    try {
+        rows.push_back({json.at("table"), json.at("key"), readWhole<std::uint64_t>(json.at("version"), "version"), json.at("value")});
+    } catch (const Json::exception &error) {
+        Log::warning("row_unreadable", {{"reason", std::string(error.what())}});
+    }
+}
+
 } // namespace
 
 std::string encodeTransaction(const TableTransaction &transaction)
@@ -34,11 +46,11 @@
 Result<TableTransaction> decodeTransaction(const std::string &text)
 {
     try {
-        const Json json = Json::parse(text);
+        const Json json = parseJson(text);
         TableTransaction transaction;
         transaction.changeId = json.at("change_id");
         for (const Json &check : json.at("checks")) {
-            transaction.checks.push_back({check.at("table"), check.at("key"), check.at("version")});
+            transaction.checks.push_back({check.at("table"), check.at("key"), readWhole<std::uint64_t>(check.at("version"), "version")});
         }
         for (const Json &write : json.at("writes")) {
             const Json &value = write.at("value");
@@ -66,12 +78,12 @@
 Result<ScanResult> decodeScan(const std::string &text)
 {
     try {
-        const Json json = Json::parse(text);
+        const Json json = parseJson(text);
         ScanResult result;
         result.available = true;
-        result.version = json.at("version");
+        readField(json, "version", result.version);
         for (const Json &row : json.at("rows")) {
-            result.rows.push_back({row.at("table"), row.at("key"), row.at("version"), row.at("value")});
+            appendRow(row, result.rows);
         }
         return result;
     } catch (const Json::exception &error) {
