Give no task to a worker whose status is out of range

Callers saw: no direct report. Capacities and times of a status were added up unchecked by the owner, and a failure domain of 300 bytes made the key of a checked row too long. Cause: decode() of a status took over all numbers.

--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -1,10 +1,27 @@
 #include "rpc/SupervisionCodec.h"
 
+#include "core/InputLimits.h"
+#include "core/Log.h"
+
+#include <algorithm>
+
 namespace banyanlock
 {
 namespace
 {
 
+bool isAmount(std::int64_t amount)
+{
+    return amount >= 0 && amount <= InputLimits::resource;
+}
+
+bool isPlausible(const WorkerAnnouncement &worker)
+{
+    return isAmount(worker.capacity.processors) && isAmount(worker.capacity.memory) && isAmount(worker.capacity.accelerators)
+        && worker.minTimeUntilExit >= Duration::zero() && worker.minTimeUntilExit <= InputLimits::span
+        && worker.failureDomain.size() <= InputLimits::nameBytes && worker.incarnation.worker.size() <= InputLimits::nameBytes;
+}
+
 void encodeIncarnation(const WorkerIncarnation &incarnation, wire::WorkerLife::Builder builder)
 {
     builder.setWorker(incarnation.worker);
@@ -38,7 +55,8 @@
 
 TimePoint decodeTime(std::int64_t microseconds)
 {
-    return TimePoint(Duration(microseconds));
+    // Sums with other times must fit.
+    return TimePoint(std::clamp(Duration(microseconds), -InputLimits::span, InputLimits::span));
 }
 
 TaskOrder decodeOrder(wire::TaskOrder::Reader reader)
@@ -91,6 +109,12 @@
     for (const auto label : reader.getLabels()) {
         worker.labels.emplace_back(label.cStr());
     }
+    if (!isPlausible(worker)) {
+        Log::warning("worker_status_implausible", {{"worker", worker.incarnation.worker}});
+        worker.capacity = {};
+        worker.minTimeUntilExit = {};
+        worker.draining = true; // it gets no tasks
+    }
     return worker;
 }
 
@@ -124,7 +148,7 @@
     request.acknowledgedEnd = reader.getAcknowledgedEnd();
     request.knownIncarnation = reader.getKnownIncarnation();
     request.knownStatus = reader.getKnownStatus();
-    request.wait = Duration(reader.getWaitMicroseconds());
+    request.wait = std::clamp(Duration(reader.getWaitMicroseconds()), Duration::zero(), InputLimits::span);
     for (const auto order : reader.getOrders()) {
         request.orders.push_back(decodeOrder(order));
     }
@@ -172,7 +196,7 @@
     status.agentIncarnation = reader.getAgentIncarnation();
     status.number = reader.getNumber();
     status.clock = decodeTime(reader.getClockMicroseconds());
-    status.unixMilliseconds = reader.getUnixMilliseconds();
+    status.unixMilliseconds = std::clamp<std::int64_t>(reader.getUnixMilliseconds(), 0, InputLimits::unixMilliseconds);
     status.highestEpoch = reader.getHighestEpoch();
     status.lastOrderBatch = reader.getOrdersSeen();
     status.runsKnown = reader.getListed();
--- a/tests/rpc/RpcNodeTest.cpp
+++ b/tests/rpc/RpcNodeTest.cpp
@@ -1,7 +1,10 @@
 #include "rpc/RpcNode.h"
+#include "rpc/SupervisionCodec.h"
 
 #include <boost/test/unit_test.hpp>
+#include <capnp/message.h>
 #include <future>
+#include <limits>
 #include <thread>
 
 namespace banyanlock
@@ -131,6 +134,62 @@
     BOOST_TEST((std::get<RevocationState>(state) == RevocationState::Revoked));
 }
 
+BOOST_AUTO_TEST_CASE(impossibleAddressesAreReportedAsNotSent)
+{
+    RpcNode client;
+    for (const std::string &address : {std::string(), std::string("127.0.0.1:70000"), std::string("127.0.0.1:-1"), std::string("unix:"),
+                                       std::string("127.0.0.1:23811\0x", 17), std::string(193, '9'), std::string("\xff:1")}) {
+        std::promise<RpcResult<WorkerStatus>> result;
+        client.supervise(address, SuperviseRequest(), callTimeout, [&](RpcResult<WorkerStatus> received) {
+            result.set_value(std::move(received));
+        });
+        const RpcResult<WorkerStatus> answer = result.get_future().get();
+        BOOST_REQUIRE_MESSAGE(std::holds_alternative<TransportFailure>(answer), address);
+        BOOST_TEST((std::get<TransportFailure>(answer) == TransportFailure::NotSent), address);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(statusWithImpossibleNumbersNamesNoWorkerToUse)
+{
+    constexpr std::int64_t highest = std::numeric_limits<std::int64_t>::max();
+    constexpr std::int64_t lowest = std::numeric_limits<std::int64_t>::min();
+    const auto roundTrip = [](const WorkerStatus &status) {
+        capnp::MallocMessageBuilder message;
+        auto builder = message.initRoot<wire::WorkerStatus>();
+        encode(status, builder);
+        return decode(builder.asReader());
+    };
+    WorkerStatus good;
+    good.clock = TimePoint(Duration(17));
+    good.unixMilliseconds = 1'700'000'000'000;
+    good.worker.incarnation = {"w", 5};
+    good.worker.capacity = {16000, 32768, 8};
+    good.worker.failureDomain = "z";
+    good.worker.minTimeUntilExit = fromMilliseconds(3000);
+    BOOST_TEST((roundTrip(good).worker == good.worker));
+    BOOST_TEST((roundTrip(good).clock == good.clock));
+    for (const std::int64_t odd : {highest, lowest, std::int64_t{-1}}) {
+        for (int field = 0; field < 4; ++field) {
+            WorkerStatus status = good;
+            status.worker.capacity.processors = field == 0 ? odd : 1;
+            status.worker.capacity.memory = field == 1 ? odd : 1;
+            status.worker.capacity.accelerators = field == 2 ? odd : 1;
+            status.worker.minTimeUntilExit = field == 3 ? Duration(odd) : Duration(1);
+            const WorkerStatus decoded = roundTrip(status);
+            BOOST_TEST(decoded.worker.draining, field << " " << odd);
+            BOOST_TEST((decoded.worker.capacity == Resources()), field << " " << odd);
+        }
+    }
+    WorkerStatus odd = good;
+    odd.clock = TimePoint(Duration(highest));
+    odd.unixMilliseconds = lowest;
+    odd.worker.failureDomain.assign(300, 'z'); // the key of its row would be too long
+    const WorkerStatus decoded = roundTrip(odd);
+    BOOST_TEST((decoded.clock < TimePoint(Duration(highest / 4))));
+    BOOST_TEST(decoded.unixMilliseconds == 0);
+    BOOST_TEST(decoded.worker.draining);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
