Shorten texts of log lines

Callers saw: the line that names a refused input was missing when it quoted much of it. Cause: the sink drops a line that does not fit into the pipe.

--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -86,6 +86,18 @@
     return std::exchange(limit.suppressed, 0);
 }
 
+std::int64_t bounded(std::int64_t number)
+{
+    return number;
+}
+
+/// Shortens a text, which may quote input of any size.
+std::string bounded(const std::string &text)
+{
+    constexpr std::size_t maxTextBytes = 2000;
+    return text.size() <= maxTextBytes ? text : text.substr(0, maxTextBytes) + "... (" + std::to_string(text.size()) + " bytes)";
+}
+
 } // namespace
 
 void Log::start(std::string_view role, std::string_view name, LogLevel level)
@@ -123,7 +135,7 @@
     for (const LogField &field : fields) {
         std::visit(
             [&](const auto &value) {
-                line[std::string(field.name)] = value;
+                line[std::string(field.name)] = bounded(value);
             },
             field.value);
     }
--- a/tests/core/SettingsTest.cpp
+++ b/tests/core/SettingsTest.cpp
@@ -107,6 +107,18 @@
     BOOST_TEST((resultCodeFromNumber(9999) == ResultCode::AttemptLost));
 }
 
+BOOST_AUTO_TEST_CASE(foreignSettingsAreRefusedWithAReason)
+{
+    for (const std::string &value :
+         {std::string(100'000, '['), std::string(100'000, '{'), std::string("127.0.0.1:70000"), std::string("127.0.0.1:0"),
+          std::string("127.0.0.1:-1"), std::string("\xff\xfe"), std::string("\0", 1), std::string("127.0.0.1:99999999999999999999")}) {
+        BOOST_TEST(!isOk(readText("name: n\naddress: " + value + "\n")));
+    }
+    for (const char *number : {"1e300", "-1", "18446744073709551616", "9223372036854775808", "1.5", ".nan", "0x10", "[7]"}) {
+        BOOST_TEST(!isOk(readText("name: n\naddress: 127.0.0.1:80\nlimit_ms: " + std::string(number) + "\n")), number);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
