Acquire the pool after another writer has erased the owner's row

Cause: the mirror kept the version of the erased row, so that each attempt to write it failed its check. Evidence: before, erasedOwnerRowLocksNobodyOut ended with no job done. ownerRowErasedBeforeARestartLocksNobodyOut passed before and stays as a guard. Change: an erased row, or one missing in a full read, has version 0 for checks and is vacant without a release; the next epoch still exceeds the last version known.

--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -69,7 +69,14 @@
     /// @return Version of the owner's row; zero if there is none.
     std::uint64_t ownerVersion() const
     {
-        return m_ownerVersion;
+        return m_ownerErased ? 0 : m_ownerVersion;
+    }
+
+    /// @return Epoch of the next owner. Above the versions of the row, it exceeds all earlier ones, even if another writer has changed the
+    /// row.
+    std::uint64_t nextEpoch() const
+    {
+        return m_ownerVersion + 1;
     }
 
     /// @return Time of the last observed change of the owner's row, or of the end of the last table service outage if that is later.
@@ -222,6 +229,10 @@
                 m_operators.outDomains.clear(); // a full read does not list erased rows
             }
             adopt(result.rows);
+            if (&followed == &m_poolTable && m_ownerVersion != 0
+                && std::ranges::find(result.rows, PoolRows::ownerKey, &TableRow::key) == result.rows.end()) {
+                adoptOwner({followed.table, std::string(PoolRows::ownerKey), result.version, {}, true});
+            }
             followed.version = result.version;
             followed.loaded = true;
             followed.currentAsOf = sentAt;
@@ -296,6 +307,7 @@
         if (row.version <= m_ownerVersion) {
             return;
         }
+        m_ownerErased = row.erased;
         std::optional<OwnerRow> owner = decodeOwnerRow(row.value, row.version);
         if (!owner) {
             // The pool has no known owner and can be acquired, like after the owner's silence: earlier owners may still renew leases.
@@ -351,7 +363,8 @@
     OperatorView m_operators;
     std::set<std::string> m_agents;
     OwnerRow m_owner;
-    std::uint64_t m_ownerVersion = 0;
+    std::uint64_t m_ownerVersion = 0; // of its last write, or of its erasure
+    bool m_ownerErased = false;
     TimePoint m_ownerSeenAt{};
     StorePace m_pace;
     TimePoint m_lastContactAt{}; // last answer of the table service
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -224,9 +224,8 @@
 
     void tryAcquire(const OwnerRow &row, TimePoint now, Duration silence)
     {
-        // Above the row's version, an epoch exceeds all earlier ones, even if another writer has changed the row.
         const OwnerRow next{
-            m_name, m_incarnation, m_mirror.ownerVersion() + 1, row.owner.empty() && row.earlierOwnersExpired, row.renewalMilliseconds, 0};
+            m_name, m_incarnation, m_mirror.nextEpoch(), row.owner.empty() && row.earlierOwnersExpired, row.renewalMilliseconds, 0};
         Log::info(
             "ownership_attempt",
             {{"epoch", static_cast<std::int64_t>(next.epoch)}, {"previous_owner", row.owner}, {"silent_ms", toMilliseconds(silence)}});
--- a/tests/pool/ForeignRowsTest.cpp
+++ b/tests/pool/ForeignRowsTest.cpp
@@ -15,7 +15,7 @@
 constexpr Duration takeoverTime = fromMilliseconds(12000);
 constexpr std::uint64_t highestNumber = std::numeric_limits<std::uint64_t>::max();
 
-void putRow(PoolWorld &world, const std::string &key, const std::string &value)
+void putRow(PoolWorld &world, const std::string &key, const std::optional<std::string> &value)
 {
     TableTransaction transaction;
     transaction.writes = {{std::string(PoolRows::table), key, value}};
@@ -33,7 +33,7 @@
     }
 }
 
-void checkOwnerRow(const std::string &value)
+void checkOwnerRow(const std::optional<std::string> &value)
 {
     PoolWorld world({});
     world.run(startupTime);
@@ -102,6 +102,27 @@
     checkOwnerRow("{");
 }
 
+BOOST_AUTO_TEST_CASE(erasedOwnerRowLocksNobodyOut)
+{
+    checkOwnerRow(std::nullopt);
+}
+
+BOOST_AUTO_TEST_CASE(ownerRowErasedBeforeARestartLocksNobodyOut)
+{
+    PoolWorld world({});
+    world.run(startupTime);
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        world.partitionEntryFromStore(entry, true);
+    }
+    putRow(world, std::string(PoolRows::ownerKey), std::nullopt);
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        world.restartEntry(entry);
+        world.partitionEntryFromStore(entry, false);
+    }
+    world.run(takeoverTime);
+    checkPoolWorks(world, "job1");
+}
+
 BOOST_AUTO_TEST_CASE(ownerRowWithAnEndlessRenewalIntervalLocksNobodyOut)
 {
     checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, 1'000'000'000'000'000, 1}));
