Number batches of orders by what the agent's process has received

Callers could see tasks that are placed again and again, and cancelled tasks that go on. Found by review. The owner now takes the highest number that the process reports, and the agent does not count orders that were made for another process.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -78,9 +78,9 @@
         worker.suspectedUntil = TimePoint();
         worker.quarantinedUntil = TimePoint();
     }
-    if (status->agentIncarnation != worker.status.agentIncarnation) {
-        worker.batch = status->lastOrderBatch; // a new agent process numbers batches from its own start
-    }
+    // A new agent process numbers batches from its own start, and may have received one that was numbered for its predecessor.
+    const bool sameProcess = status->agentIncarnation == worker.status.agentIncarnation;
+    worker.batch = sameProcess ? std::max(worker.batch, status->lastOrderBatch) : status->lastOrderBatch;
     const bool isUpdate
         = status->agentIncarnation != worker.status.agentIncarnation || status->number != worker.status.number || isSilent(worker, now);
     worker.status = *status;
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -169,7 +169,8 @@
         });
         m_nextRenewal = now;
     }
-    if (valid && request.batch > m_lastOrderBatch) {
+    const bool forThisProcess = request.knownIncarnation == 0 || request.knownIncarnation == m_incarnation;
+    if (valid && forThisProcess && request.batch > m_lastOrderBatch) {
         for (const TaskOrder &order : request.orders) {
             handleOrder(order, now);
         }
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -1,6 +1,7 @@
 #include "PoolWorld.h"
 #include "graph/GraphCodec.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <string>
@@ -235,6 +236,25 @@
     BOOST_TEST(toMilliseconds(now - orderedAt) >= toMilliseconds(timing.startTimeout + timing.maxListsAge));
 }
 
+BOOST_AUTO_TEST_CASE(batchesToNewAgentProcessAreNotIgnoredAfterItReceivedBatchForItsPredecessor)
+{
+    // The new process answers a poll; a batch that the owner numbered for the earlier process reaches it afterwards.
+    constexpr std::uint64_t batchOfPredecessor = 58;
+    addJob(makeStep(1, 1, 60000), {});
+    acquire();
+    std::uint64_t number = 0;
+    std::uint64_t batch = 0;
+    onCall = [&](const CallAgent &call) {
+        batch = std::max(batch, call.request.batch);
+        WorkerStatus status = makeStatus(2, ++number, true);
+        status.worker.draining = number < 3;
+        status.lastOrderBatch = number < 2 ? 0 : batchOfPredecessor;
+        answer(call, status);
+    };
+    run(fromMilliseconds(2000));
+    BOOST_TEST(batch > batchOfPredecessor);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -358,6 +358,18 @@
     BOOST_TEST(renewed);
 }
 
+BOOST_AUTO_TEST_CASE(ordersForEarlierProcessAreNotCountedAsReceived)
+{
+    constexpr std::uint64_t batchOfPredecessor = 58;
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.validUntil = now + fromMilliseconds(1000);
+    request.knownIncarnation = 6; // the predecessor's
+    request.batch = batchOfPredecessor;
+    supervisor.onSupervise(request, now);
+    BOOST_TEST(supervisor.status(now, 0).lastOrderBatch < batchOfPredecessor);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
