Keep a run whose end may be cut from the worker's lists

Callers could see a task run twice. A worker lists at most 500 ends; with that many unacknowledged, a run that has ended is on neither list, and the owner took it as over without knowing how, and placed it again although it may have succeeded. Found by review; the test failed before. Full lists of ends now prove nothing about a run that they omit.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -223,6 +223,9 @@
         }
         return;
     }
+    if (status.ends.size() >= maxListedEnds) {
+        return; // its end may follow the listed ones
+    }
     // A process of the agent that has not received the order knows of its execution only by the worker's lists.
     const bool fromReceiver = member.batch != 0 && status.agentIncarnation == member.agentIncarnation;
     const bool orderApplied = fromReceiver && status.lastOrderBatch >= member.batch;
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -5,6 +5,7 @@
 #include "graph/Resources.h"
 #include "pool/TaskName.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -35,6 +36,9 @@
     std::string checkpoint; ///< Latest checkpoint that the task can resume from; empty for none.
 };
 
+/// Maximum number of ends that a worker lists at once.
+inline constexpr std::size_t maxListedEnds = 500;
+
 /// The end of a run. The worker reports it until it is acknowledged.
 struct RunEnd {
     std::uint64_t number = 0; ///< Sequence number of the end within the worker's incarnation.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -351,8 +351,9 @@
         return entry.second < sentAt;
     });
     std::vector<RunEnd> ends;
+    const bool maybeCut = lists.ends.size() >= maxListedEnds; // the owner recognises it by the number of ends
     for (const RunEnd &end : lists.ends) {
-        if (end.number > m_acknowledgedEnd) {
+        if (maybeCut || end.number > m_acknowledgedEnd) {
             ends.push_back(end);
         }
     }
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -255,6 +255,26 @@
     BOOST_TEST(batch > batchOfPredecessor);
 }
 
+BOOST_AUTO_TEST_CASE(runIsNotOverWhenItsEndMayBeCutFromTheLists)
+{
+    // A worker lists at most 500 ends; the end of a run that is no longer in progress may follow them.
+    constexpr std::uint64_t maxListedEnds = 500;
+    addJob(makeStep(1, 1, 60000), {{workerIncarnation, agentName}});
+    acquire();
+    std::uint64_t number = 0;
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, ++number, true);
+        status.runsKnownEpoch = ownerEpoch;
+        for (std::uint64_t end = 1; end <= maxListedEnds; ++end) {
+            status.ends.push_back({end, {{"other", 0, 0, static_cast<std::uint32_t>(end)}, 1}, RunEnding::Succeeded, {}});
+        }
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST(latestRun() == 1U);
+    BOOST_TEST(!isRunOver());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
