Let a restarted agent find a fencing token that its worker accepts

Leases could lapse while the table service is down: a restarted agent renews with the token that the owner returns, and if its predecessor had raised it since, the worker refused each renewal. The borrowed token is now raised like an own one, within its registration, whose last token no longer equals the first one of the next. Answers that say that the worker was busy no longer raise the token, the first poll after a broken connection follows at once, the agent's timer waits for its registration, and statuses without a proven token prove nothing by time. Found by review; both tests failed before.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -229,8 +229,9 @@
     // A process of the agent that has not received the order knows of its execution only by the worker's lists.
     const bool fromReceiver = member.batch != 0 && status.agentIncarnation == member.agentIncarnation;
     const bool orderApplied = fromReceiver && status.lastOrderBatch >= member.batch;
-    const bool startExpired = fromReceiver ? worker.statusRequestedAt > member.startExpiredAt
-                                           : status.answering && worker.statusRequestedAt > member.startExpiredAt + m_timing.maxListsAge;
+    const bool startExpired = fromReceiver
+        ? worker.statusRequestedAt > member.startExpiredAt
+        : status.answering && !status.unfenced && worker.statusRequestedAt > member.startExpiredAt + m_timing.maxListsAge;
     if (status.leaseExpired) {
         // A start that has not reached the agent may still take effect there.
         if (member.batch == 0 || member.confirmed || orderApplied || startExpired) {
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -75,11 +75,14 @@
 
 void WorkerSupervisor::raiseFence()
 {
-    if (!m_registered) {
+    if (m_fence == 0) {
         return;
     }
-    ++m_fence;
-    m_registered = m_fence < m_fenceLimit;
+    if (m_fence + 1 < m_fenceLimit) {
+        ++m_fence;
+    } else {
+        m_registered = false; // all tokens of the registration are used
+    }
     markChanged();
 }
 
@@ -150,6 +153,7 @@
     }
     if (!m_registered && m_worker && request.acknowledgedIncarnation == m_worker->incarnation && request.workerFence > m_fence) {
         m_fence = request.workerFence; // suffices to renew the lease of what an earlier process has started
+        m_fenceLimit = (m_fence / fencesPerRegistration + 1) * fencesPerRegistration;
         m_nextRenewal = now;
     }
     const bool valid = now <= request.validUntil;
@@ -317,13 +321,14 @@
 
 void WorkerSupervisor::onListsLost(const RenewWorker &action, const RenewalAnswer &answer, bool otherIncarnation, TimePoint now)
 {
-    m_incarnationUncertain = m_incarnationUncertain || answer.refused || answer.disconnected || otherIncarnation;
-    if (action.fence == m_fence && !answer.refused) {
+    const bool wasUncertain
+        = std::exchange(m_incarnationUncertain, m_incarnationUncertain || answer.refused || answer.disconnected || otherIncarnation);
+    if (action.fence == m_fence && !answer.refused && !answer.rejected) {
         raiseFence(); // a worker that has restarted may still execute what was sent to its earlier incarnation
     }
     m_pollImmediately
         = m_pollImmediately || (m_runsKnown && action.wait == Duration::zero()); // the state that this request was to show is still unknown
-    m_nextRenewal = now + m_timing.retryInterval;
+    m_nextRenewal = answer.disconnected && !wasUncertain ? now : now + m_timing.retryInterval;
 }
 
 void WorkerSupervisor::recordProof(const RenewWorker &action)
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -86,6 +86,7 @@
     std::optional<WorkerLists> lists; ///< The lists; none if there was no valid answer.
     bool refused = false; ///< The worker's address refused the connection.
     bool disconnected = false; ///< The connection broke before the answer.
+    bool rejected = false; ///< The worker was too busy and did nothing.
 };
 
 /// Supervises the worker on the agent's instance for the owner of the pool.
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -188,7 +188,7 @@
         for (const PendingCall &call : m_pendingCalls) {
             next = std::min(next, call.deadline);
         }
-        if (m_supervisor.needsRegistration()) {
+        if (m_supervisor.needsRegistration() && !m_registering) {
             next = std::min(next, std::max(m_registerAfter, now + fromMilliseconds(1)));
         }
         if (next == m_armedFor) {
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -370,6 +370,55 @@
     BOOST_TEST(supervisor.status(now, 0).lastOrderBatch < batchOfPredecessor);
 }
 
+BOOST_AUTO_TEST_CASE(unregisteredProcessFindsTokenThatIsNotLowerThanThatOfItsPredecessor)
+{
+    // The predecessor has raised its token after its last status, so the worker refuses the token that the owner returns.
+    constexpr std::uint64_t returnedFence = 4100;
+    constexpr int maxTries = 20;
+    WorkerSupervisor successor{8, SupervisorTiming(), counters};
+    WorkerAnnouncement announcement;
+    announcement.incarnation = workerIncarnation;
+    announcement.sequence = 1;
+    successor.onAnnouncement(announcement);
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.acknowledgedIncarnation = workerIncarnation;
+    request.workerFence = returnedFence;
+    successor.onSupervise(request, now);
+    std::uint64_t fence = 0;
+    for (int i = 0; i < maxTries; ++i) {
+        successor.step(now);
+        for (const SupervisorAction &action : successor.takeActions()) {
+            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+                fence = renewal->fence;
+                successor.onLists(*renewal, RenewalAnswer(), now); // refused
+            }
+        }
+        now += SupervisorTiming().retryInterval;
+    }
+    BOOST_TEST(fence > returnedFence);
+}
+
+BOOST_AUTO_TEST_CASE(fencingTokensOfTwoRegistrationsDiffer)
+{
+    // The tokens of a registration are used up while the table service is down.
+    constexpr int moreThanAllTokens = 5000;
+    std::uint64_t fence = 0;
+    for (int i = 0; i < moreThanAllTokens; ++i) {
+        supervisor.step(now);
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+                fence = std::max(fence, renewal->fence);
+                supervisor.onLists(*renewal, RenewalAnswer(), now);
+            }
+        }
+        now += SupervisorTiming().retryInterval;
+    }
+    WorkerSupervisor successor{8, SupervisorTiming(), counters};
+    successor.onRegistered(2);
+    BOOST_TEST(fence < successor.status(now, 0).workerFence);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
