Number the status anew when it omits a run that a stop has settled

What callers could see: a job stays at running with nothing running. A start without an answer is stopped; the run is reported until lists newer than the stop omit it. That omission did not change the number of the status, so the owner took it for the one that it had, and waited for the run until something else changed on the worker.

Evidence: statusChangesWhenStoppedStartProvesNeverExecuted failed before (number 9, not above 9) and passes now.

--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -309,9 +309,11 @@
 {
     m_clockAtAnswer = lists.clock;
     m_listsReceivedAt = now;
-    std::erase_if(m_confirmed, [&](const auto &entry) {
-        return entry.second < sentAt;
-    });
+    const bool omitsConfirmed = std::erase_if(m_confirmed,
+                                              [&](const auto &entry) {
+                                                  return entry.second < sentAt;
+                                              })
+        != 0;
     std::vector<RunEnd> ends;
     for (const RunEnd &end : lists.ends) {
         if (end.number > m_acknowledgedEnd) {
@@ -321,7 +323,8 @@
     const auto sameRun = [](const RunReport &left, const RunReport &right) {
         return left.run == right.run && left.checkpoint == right.checkpoint;
     };
-    const bool isUpdate = !m_runsKnown || m_silent || ends.size() != m_ends.size() || !std::ranges::equal(lists.runs, m_runs, sameRun);
+    const bool isUpdate
+        = !m_runsKnown || m_silent || omitsConfirmed || ends.size() != m_ends.size() || !std::ranges::equal(lists.runs, m_runs, sameRun);
     for (const RunEnd &end : ends) {
         m_starts.erase(end.run);
         m_confirmed.erase(end.run);
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -357,6 +357,31 @@
     BOOST_TEST(renewed);
 }
 
+BOOST_AUTO_TEST_CASE(statusChangesWhenStoppedStartProvesNeverExecuted)
+{
+    // Guards against a run that its owner waits for forever: the status omitted the run but kept its number.
+    const std::vector<StartTask> starts = takeStarts();
+    BOOST_REQUIRE_EQUAL(starts.size(), 1U);
+    announce(2, true);
+    supervisor.onStarted(starts.front(), OrderOutcome::Unknown, "", now);
+    const std::vector<StopTask> stops = takeStops();
+    BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+    supervisor.onStopped(stops.front(), OrderOutcome::Done, now);
+    BOOST_TEST(isRunReported());
+    const std::uint64_t number = supervisor.status(now, 0).number;
+    now += fromMilliseconds(10);
+    RenewWorker poll;
+    poll.epoch = 1;
+    poll.incarnation = workerIncarnation;
+    poll.sentAt = now;
+    WorkerLists lists;
+    lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+    lists.clock = now - bornAt;
+    supervisor.onLists(poll, {lists, false}, now + fromMilliseconds(1));
+    BOOST_TEST(!isRunReported());
+    BOOST_TEST(supervisor.status(now, 0).number > number);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
