Bring machines that lose power and calls that cross incarnations into the soak

The soak let a late order end with the worker that had taken it in, so nothing sent to an earlier incarnation could reach a new one. Now renewals, starts and stops may get no answer and be carried out 2 to 12 s later, by whatever incarnation is there then, and announcements may arrive seconds late. New faults: a worker and its agent restart in the same instant, one machine or all at once and several times, also right after an accepted submission; a worker comes back with half the room or as another kind; processes pause for 1 to 9 s in overlapping series; connections go silent for good while later ones work, now also between entries and agents.

--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -140,14 +140,14 @@
     if (m_running.contains(action.run)) {
         return {OrderOutcome::Done, ""};
     }
+    if (clock(now) > action.startBy) {
+        return {OrderOutcome::Refused, "late"};
+    }
+    m_leaseEnd = std::max(m_leaseEnd, std::min(action.startBy, clock(now) + longestLease));
     const auto closed = m_closed.find(action.run.task);
     if (closed != m_closed.end() && action.run.run <= closed->second) {
         return {OrderOutcome::Refused, "old"};
     }
-    if (clock(now) > action.startBy) {
-        return {OrderOutcome::Refused, "late"};
-    }
-    m_leaseEnd = std::max(m_leaseEnd, action.startBy);
     Run run;
     run.task = m_tasks(action.run.task);
     run.startedAt = now;
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -62,6 +62,15 @@
     /// @param now Current time.
     void rebirth(TimePoint now);
 
+    /// Gives the worker another room and other labels; it must run nothing.
+    /// @param capacity What its tasks may hold together.
+    /// @param labels Its labels.
+    void setKind(const Resources &capacity, std::vector<std::string> labels)
+    {
+        m_announcement.capacity = capacity;
+        m_announcement.labels = std::move(labels);
+    }
+
     /// @return What the worker says of itself, with a new number.
     WorkerAnnouncement announce()
     {
@@ -109,6 +118,12 @@
         return m_announcement;
     }
 
+    /// @return Highest fencing token that this incarnation has seen.
+    std::uint64_t epoch() const
+    {
+        return m_epoch;
+    }
+
     /// @return What its runs hold.
     Resources used() const;
 
--- a/standins/RunChecks.cpp
+++ b/standins/RunChecks.cpp
@@ -26,6 +26,7 @@
         Log::info("model_start",
                   {{"run", describe(run)},
                    {"worker", worker.announcement().incarnation.worker},
+                   {"born", worker.announcement().incarnation.startedUnixMilliseconds},
                    {"at", toMilliseconds(m_now().time_since_epoch())}});
         m_firstStarts.try_emplace(run.task.job, m_now());
         if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
@@ -46,6 +47,10 @@
                 }
             }
         }
+        const std::string &label = spec.steps[run.task.step].requiredLabel;
+        if (!label.empty() && std::ranges::count(worker.announcement().labels, label) == 0) {
+            violate("without the label it requires: " + describe(run) + " on " + worker.announcement().incarnation.worker);
+        }
         if (!worker.announcement().capacity.fits(worker.used())) {
             violate("more than the worker has: " + describe(run) + " on " + worker.announcement().incarnation.worker);
         }
--- a/tests/soak/RowsServer.cpp
+++ b/tests/soak/RowsServer.cpp
@@ -115,6 +115,10 @@
     TableTransaction transaction;
     try {
         transaction = transactionOf(Json::parse(request.body));
+        for (RowWrite &write : transaction.writes) {
+            const auto alias = m_aliases.find(write.key);
+            write.key = alias == m_aliases.end() ? write.key : alias->second;
+        }
     } catch (const Json::exception &) {
         answer(respond, jsonAnswer(statusBadRequest, Json::object()));
         return;
--- a/tests/soak/RowsServer.h
+++ b/tests/soak/RowsServer.h
@@ -5,6 +5,8 @@
 #include "http/HttpServer.h"
 
 #include <list>
+#include <map>
+#include <string>
 
 namespace banyanlock
 {
@@ -45,6 +47,14 @@
     /// @param value Value of the row.
     void write(const std::string &table, const std::string &key, const std::string &value);
 
+    /// Has a row kept under another key than the one that its writer gives.
+    /// @param key Key that the writer gives.
+    /// @param alias Key that the row is kept under.
+    void setAlias(const std::string &key, const std::string &alias)
+    {
+        m_aliases[key] = alias;
+    }
+
     /// Drops the history of changes.
     void forgetHistory()
     {
@@ -70,6 +80,7 @@
     Counters m_counters;
     RowsModel m_rows;
     RowsFaults m_faults;
+    std::map<std::string, std::string> m_aliases;
     std::list<Follower> m_followers;
     HttpServer m_server;
 };
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -2,6 +2,8 @@
 
 #include "Soak.h"
 
+#include "pool/PoolRows.h"
+
 #include <fstream>
 #include <iostream>
 #include <nlohmann/json.hpp>
@@ -25,6 +27,7 @@
 constexpr std::size_t storeProxyPorts = 1200;
 constexpr std::size_t workerProxyPorts = 1500;
 constexpr std::size_t callerProxyPorts = 1700;
+constexpr std::size_t agentProxyPorts = 1800;
 constexpr std::size_t portsEach = 3;
 
 } // namespace
@@ -62,8 +65,8 @@
         announcement.incarnation = {"worker-" + std::to_string(index), unixMillisecondsNow()};
         announcement.service = "service";
         announcement.failureDomain = "domain-" + std::to_string(index % 3);
-        announcement.capacity = {128000, 256000, 8};
-        announcement.labels = {"kind", "rack-" + std::to_string(index / 3)};
+        announcement.capacity = usualCapacity;
+        announcement.labels = {usualKind, "rack-" + std::to_string(index / 3)};
         PoolWorkerModel model(
             announcement,
             [this](const TaskName &task) {
@@ -100,6 +103,9 @@
     }
     for (std::size_t index = 0; index < m_options.workers; ++index) {
         const std::size_t ports = agentPorts + portsEach * index;
+        m_agentProxies.push_back(std::make_unique<SoakProxy>(m_loop.context(), endpoint(agentProxyPorts + index), endpoint(ports + 1)));
+        m_rows.setAlias(PoolRows::keyOf(PoolRows::workerPrefix, address(ports + 1)),
+                        PoolRows::keyOf(PoolRows::workerPrefix, address(agentProxyPorts + index)));
         add("agent", "agent-" + std::to_string(index),
             "failure_domain: domain-" + std::to_string(index % 3) + "\nannounce_address: " + address(ports)
                 + "\nrpc_address: " + address(ports + 1) + "\nworker_url: http://" + address(workerProxyPorts + index) + "\n");
@@ -131,6 +137,7 @@
     m_faultsEnd = EventLoop::now() + startUp + m_options.faultTime;
     m_deadline = m_faultsEnd + m_options.settleTime;
     m_loop.timers().subscribe(EventLoop::now() + startUp, [this](TimePoint) {
+        makeCallsLate(m_random.chance(0.5) ? 0.3 : 0.0);
         scheduleRound();
     });
     m_loop.run();
@@ -183,6 +190,7 @@
     GraphSpec spec;
     spec.payload = "work of " + id;
     spec.steps = {step};
+    step.requiredLabel = m_random.chance(0.2) ? usualKind : "";
     if (m_random.chance(0.3)) {
         step.after = {0};
         step.gang = false;
@@ -197,6 +205,7 @@
                           {"estimateMs", toMilliseconds(each.estimate)},
                           {"after", each.after},
                           {"gang", each.gang},
+                          {"requirements", each.requiredLabel},
                           {"checkpointing", each.checkpoints}});
     }
     static constexpr std::array<const char *, 3> queues{"urgent", "normal", "bulk"};
@@ -231,6 +240,9 @@
         if (answered && reply.status == 200) {
             job.accepted = true;
             job.answered = true;
+            if (EventLoop::now() < m_faultsEnd && m_random.chance(0.03)) {
+                losePowerOfAll(1);
+            }
             return;
         }
         constexpr int tooMany = 429;
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -16,6 +16,12 @@
 namespace banyanlock
 {
 
+/// Room of a worker, unless a fault has changed it.
+inline constexpr Resources usualCapacity{128000, 256000, 8};
+
+/// Kind of a worker, unless a fault has changed it.
+inline constexpr const char *usualKind = "kind";
+
 /// Size and length of a soak.
 struct SoakOptions {
     std::uint64_t seed = 1; ///< Seed of loads and faults.
@@ -75,6 +81,17 @@
     void harmStore();
     void harmLinks();
     void harmWorker();
+    void harmMachine();
+    void pauseProcesses();
+    void makeCallsLate(double share);
+    void restart(SoakProcess &process, Duration after);
+    void losePower(std::size_t machine);
+    void losePowerOfAll(std::uint32_t times);
+    void changeKind(std::size_t machine, const Resources &capacity, const std::string &kind);
+    SoakProcess &agentOf(std::size_t machine)
+    {
+        return *m_processes[m_options.entries + machine];
+    }
     void heal();
     void checkSettled();
     void finish();
@@ -92,6 +109,7 @@
     std::vector<std::unique_ptr<SoakProxy>> m_storeProxies; // by process
     std::vector<std::unique_ptr<SoakProxy>> m_workerProxies; // by worker
     std::vector<std::unique_ptr<SoakProxy>> m_callerProxies; // by entry
+    std::vector<std::unique_ptr<SoakProxy>> m_agentProxies; // by worker, between entries and agents
     std::vector<std::unique_ptr<SoakProcess>> m_processes; // entries, then agents
     std::map<std::string, std::pair<std::string, std::string>> m_specs; // body by job
     std::map<std::string, Job> m_jobs;
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -9,7 +9,7 @@
 
 void Soak::injectFault()
 {
-    switch (m_random.below(6)) {
+    switch (m_random.below(10)) {
     case 0:
     case 1:
         harmProcess();
@@ -20,6 +20,14 @@
     case 3:
         harmWorker();
         break;
+    case 4:
+        pauseProcesses();
+        break;
+    case 5:
+    case 6:
+    case 7:
+        harmMachine();
+        break;
     default:
         harmLinks();
     }
@@ -99,13 +107,19 @@
 
 void Soak::harmLinks()
 {
-    const std::uint32_t kind = m_random.below(3);
-    std::vector<std::unique_ptr<SoakProxy>> &proxies = kind == 0 ? m_storeProxies : kind == 1 ? m_workerProxies : m_callerProxies;
-    static constexpr std::array<const char *, 3> names{"store", "worker", "caller"};
+    const std::array all{&m_storeProxies, &m_workerProxies, &m_callerProxies, &m_agentProxies};
+    const std::uint32_t kind = m_random.below(all.size());
+    std::vector<std::unique_ptr<SoakProxy>> &proxies = *all.at(kind);
+    static constexpr std::array<const char *, 4> names{"store", "worker", "caller", "agent"};
     const std::uint32_t index = m_random.below(static_cast<std::uint32_t>(proxies.size()));
     const std::string link = std::string(names.at(kind)) + " link " + std::to_string(index);
     SoakProxy &proxy = *proxies[index];
-    switch (m_random.below(7)) {
+    switch (m_random.below(9)) {
+    case 7:
+    case 8:
+        fault(link + " silent on its open connections");
+        proxy.silenceOpen();
+        break;
     case 0:
         fault(link + " silent");
         proxy.setFault(ProxyFault::Silenced);
@@ -143,8 +157,8 @@
         worker.model().rebirth(EventLoop::now());
         break;
     case 1:
-        fault(name + " answers orders late");
-        worker.setLateOrders(0.3);
+        fault(name + " carries out calls late");
+        worker.setLateCalls(0.3);
         break;
     case 2:
         fault(name + " fails everything");
@@ -156,7 +170,8 @@
         break;
     default:
         fault(name + " well");
-        worker.setLateOrders(0.0);
+        worker.setLateCalls(0.0);
+        worker.setLateAnnouncements(0.0);
         worker.model().setFailing(false);
         worker.model().setSlowness(1.0);
     }
@@ -166,12 +181,15 @@
 {
     fault("all well");
     m_rows.faults() = RowsFaults();
-    for (const std::unique_ptr<WorkerServer> &worker : m_workers) {
-        worker->setLateOrders(0.0);
-        worker->model().setFailing(false);
-        worker->model().setSlowness(1.0);
+    makeCallsLate(0.0);
+    for (std::size_t machine = 0; machine < m_workers.size(); ++machine) {
+        m_workers[machine]->model().setFailing(false);
+        m_workers[machine]->model().setSlowness(1.0);
+        if (m_workers[machine]->model().announcement().capacity != usualCapacity) {
+            changeKind(machine, usualCapacity, usualKind);
+        }
     }
-    for (std::vector<std::unique_ptr<SoakProxy>> *proxies : {&m_storeProxies, &m_workerProxies, &m_callerProxies}) {
+    for (std::vector<std::unique_ptr<SoakProxy>> *proxies : {&m_storeProxies, &m_workerProxies, &m_callerProxies, &m_agentProxies}) {
         for (const std::unique_ptr<SoakProxy> &proxy : *proxies) {
             proxy->setFault(ProxyFault::None);
         }
--- a/tests/soak/SoakProxy.cpp
+++ b/tests/soak/SoakProxy.cpp
@@ -55,6 +55,16 @@
     }
 }
 
+void SoakProxy::silenceOpen()
+{
+    for (const std::weak_ptr<Session> &weak : m_sessions) {
+        if (const std::shared_ptr<Session> session = weak.lock()) {
+            session->muteToServer = true;
+            session->muteToClient = true;
+        }
+    }
+}
+
 void SoakProxy::reset()
 {
     for (const std::weak_ptr<Session> &weak : m_sessions) {
--- a/tests/soak/SoakProxy.h
+++ b/tests/soak/SoakProxy.h
@@ -34,6 +34,9 @@
     /// @param delay Delay of `Delayed`.
     void setFault(ProxyFault fault, Duration delay = {});
 
+    /// Makes the connections that are open now silent for good; later ones are not.
+    void silenceOpen();
+
     /// Resets all open connections.
     void reset();
 
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -1,6 +1,7 @@
 #include "WorkerServer.h"
 
 #include "JsonAnswer.h"
+#include "core/Log.h"
 
 #include <array>
 #include <charconv>
@@ -94,30 +95,39 @@
         return;
     }
     try {
-        if (request.path == "/api/hold") {
+        if (m_random.chance(m_lateCalls)) {
+            carryOutLate(request, m_random.chance(0.5) ? respond : nullptr);
+        } else if (request.path == "/api/hold") {
             const Json body = Json::parse(request.body);
             hold(request, respond, m_model.announcement().incarnation,
                  EventLoop::now() + fromMilliseconds(body.value("waitMs", std::int64_t{0})));
         } else {
-            order(request, respond);
+            respond(carryOut(request));
         }
     } catch (const Json::exception &) {
         respond(jsonAnswer(statusBadRequest, Json::object()));
     }
 }
 
-void WorkerServer::order(const ServerRequest &request, const HttpServer::Responder &respond)
+void WorkerServer::carryOutLate(const ServerRequest &request, const HttpServer::Responder &kept)
 {
-    if (!m_random.chance(m_lateOrders)) {
-        respond(carryOut(request));
-        return;
-    }
-    const Duration late = fromMilliseconds(2000 + m_random.below(8000));
-    const WorkerIncarnation incarnation = m_model.announcement().incarnation; // what this process took in ends with it
-    m_loop.timers().subscribe(EventLoop::now() + late, [this, request, incarnation](TimePoint) {
-        if (m_model.announcement().incarnation == incarnation) {
-            carryOut(request);
-        }
+    const Duration late = fromMilliseconds(2000 + m_random.below(10000));
+    const std::int64_t sentTo = m_model.announcement().incarnation.startedUnixMilliseconds;
+    m_loop.timers().subscribe(EventLoop::now() + late, [this, request, kept, late, sentTo](TimePoint now) {
+        const Json body = Json::parse(request.body);
+        const std::uint64_t seen = m_model.epoch();
+        const int status = request.path == "/api/hold" ? (renew(body) ? 200 : statusConflict) : carryOut(request).status;
+        Log::info("late_call",
+                  {{"path", request.path},
+                   {"run", body.value("task", "") + " " + std::to_string(body.value("run", 0))},
+                   {"worker", m_model.announcement().incarnation.worker},
+                   {"token", body.value("fencingToken", std::int64_t{0})},
+                   {"seen", static_cast<std::int64_t>(seen)},
+                   {"sent_to", sentTo},
+                   {"born", m_model.announcement().incarnation.startedUnixMilliseconds},
+                   {"late_ms", toMilliseconds(late)},
+                   {"status", static_cast<std::int64_t>(status)},
+                   {"at", toMilliseconds(now.time_since_epoch())}});
     });
 }
 
@@ -148,14 +158,7 @@
     }
     const Json body = Json::parse(request.body);
     const TimePoint now = EventLoop::now();
-    RenewWorker action;
-    action.epoch = body.value("fencingToken", std::uint64_t{0});
-    action.acknowledgedEnd = body.value("lastSeen", std::uint64_t{0});
-    action.incarnation = incarnation;
-    if (body.contains("deadlineMs")) {
-        action.leaseEnd = fromMilliseconds(body["deadlineMs"].get<std::int64_t>());
-    }
-    const std::optional<WorkerLists> lists = m_model.renew(action, now);
+    const std::optional<WorkerLists> lists = renew(body);
     if (!lists) {
         respond(jsonAnswer(statusConflict, {{"reason", "fence"}}));
     } else if (lists->ends.empty() && now < until) {
@@ -173,6 +176,18 @@
     }
 }
 
+std::optional<WorkerLists> WorkerServer::renew(const Json &body)
+{
+    RenewWorker action;
+    action.epoch = body.value("fencingToken", std::uint64_t{0});
+    action.acknowledgedEnd = body.value("lastSeen", std::uint64_t{0});
+    action.incarnation = m_model.announcement().incarnation;
+    if (body.contains("deadlineMs")) {
+        action.leaseEnd = fromMilliseconds(body["deadlineMs"].get<std::int64_t>());
+    }
+    return m_model.renew(action, EventLoop::now());
+}
+
 ServerResponse WorkerServer::listsAnswer(const WorkerLists &lists) const
 {
     Json running = Json::array();
@@ -206,7 +221,10 @@
                         {"seq", worker.sequence}}
                        .dump();
     request.timeoutMilliseconds = 1000;
-    m_http.send(std::move(request), [](const HttpReply &) {
+    const Duration late = m_random.chance(m_lateAnnouncements) ? fromMilliseconds(500 + m_random.below(8000)) : Duration::zero();
+    m_loop.timers().subscribe(EventLoop::now() + late, [this, request](TimePoint) {
+        m_http.send(request, [](const HttpReply &) {
+        });
     });
 }
 
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -6,6 +6,8 @@
 #include "runtime/HttpClient.h"
 #include "runtime/LoopHttp.h"
 
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 namespace banyanlock
@@ -20,7 +22,7 @@
     /// @param endpoint Where the agent reaches it.
     /// @param announceUrl Where it announces itself.
     /// @param model The worker.
-    /// @param random Which orders come late.
+    /// @param random Which calls and announcements come late.
     WorkerServer(EventLoop &loop, HttpClient &http, const Endpoint &endpoint, std::string announceUrl, PoolWorkerModel model,
                  Random &random);
 
@@ -30,17 +32,25 @@
         return m_model;
     }
 
-    /// Sets the share of orders that get no answer and are carried out seconds later.
+    /// Sets the share of calls that get no answer and are carried out seconds later, by whatever incarnation is there then.
     /// @param share The share.
-    void setLateOrders(double share)
+    void setLateCalls(double share)
     {
-        m_lateOrders = share;
+        m_lateCalls = share;
+    }
+
+    /// Sets the share of announcements that arrive seconds later.
+    /// @param share The share.
+    void setLateAnnouncements(double share)
+    {
+        m_lateAnnouncements = share;
     }
 
 private:
     void serve(const ServerRequest &request, const HttpServer::Responder &respond);
-    void order(const ServerRequest &request, const HttpServer::Responder &respond);
+    void carryOutLate(const ServerRequest &request, const HttpServer::Responder &kept); // while kept, its connection stays silent
     ServerResponse carryOut(const ServerRequest &request);
+    std::optional<WorkerLists> renew(const nlohmann::json &body);
     void hold(const ServerRequest &request, const HttpServer::Responder &respond, const WorkerIncarnation &incarnation, TimePoint until);
     ServerResponse listsAnswer(const WorkerLists &lists) const;
     void announce();
@@ -51,7 +61,8 @@
     PoolWorkerModel m_model;
     Random &m_random;
     Counters m_counters;
-    double m_lateOrders = 0.0;
+    double m_lateCalls = 0.0;
+    double m_lateAnnouncements = 0.0;
     HttpServer m_server;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,7 @@
 #include "Soak.h"
 
+#include "core/Log.h"
+
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
@@ -16,8 +18,12 @@
     options.add_options()("entries", "number of entries", cxxopts::value<std::size_t>()->default_value("3"));
     options.add_options()("workers", "number of workers", cxxopts::value<std::size_t>()->default_value("6"));
     options.add_options()("port", "first port", cxxopts::value<std::uint16_t>()->default_value("26000"));
+    options.add_options()("log", "writes what the workers see");
     try {
         const cxxopts::ParseResult given = options.parse(argc, argv);
+        if (given.count("log") > 0) {
+            Log::start("soak", "workers", LogLevel::Info);
+        }
         const std::uint64_t first = given["seed"].as<std::uint64_t>();
         const std::uint64_t count = given["seeds"].as<std::uint64_t>();
         std::uint64_t failed = 0;
