Let the soak send late calls only after the agent's first call to a new incarnation

--after-contact holds late calls to an earlier incarnation of a worker back until its agent has called the new one: an order that comes before that meets a worker that has seen no fencing token, which no token can refuse. Without the option they come at any time.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -76,6 +76,7 @@
         const std::string announceUrl = "http://" + address(agentPorts + portsEach * index);
         m_workers.push_back(
             std::make_unique<WorkerServer>(m_loop, m_http, endpoint(workerPorts + index), announceUrl, std::move(model), m_random));
+        m_workers.back()->setCallsBeforeContact(m_options.callsBeforeContact);
         m_workerProxies.push_back(
             std::make_unique<SoakProxy>(m_loop.context(), endpoint(workerProxyPorts + index), endpoint(workerPorts + index)));
     }
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,7 @@
     options.add_options()("entries", "number of entries", cxxopts::value<std::size_t>()->default_value("3"));
     options.add_options()("workers", "number of workers", cxxopts::value<std::size_t>()->default_value("6"));
     options.add_options()("port", "first port", cxxopts::value<std::uint16_t>()->default_value("26000"));
+    options.add_options()("after-contact", "late calls reach a new worker incarnation only after its agent's first call");
     options.add_options()("log", "writes what the workers see");
     try {
         const cxxopts::ParseResult given = options.parse(argc, argv);
@@ -35,6 +36,7 @@
             soak.firstPort = given["port"].as<std::uint16_t>();
             soak.entries = given["entries"].as<std::size_t>();
             soak.workers = given["workers"].as<std::size_t>();
+            soak.callsBeforeContact = given.count("after-contact") == 0;
             soak.faultTime = std::chrono::seconds(given["seconds"].as<int>());
             std::filesystem::create_directories(soak.directory);
             Soak run(soak);
