Let a worker's restart break the soak's waiting calls at once

Calls for lists that waited for an end were broken up to 20 ms after the restart, so an agent could not notice it as early as with a process whose connections the kernel closes. The faults are logged with the time of the soak's other lines.

--- a/tests/soak/MachineFaults.cpp
+++ b/tests/soak/MachineFaults.cpp
@@ -56,7 +56,7 @@
 
 void Soak::losePower(std::size_t machine)
 {
-    m_workers[machine]->model().rebirth(EventLoop::now());
+    m_workers[machine]->restart();
     restart(agentOf(machine), fromMilliseconds(m_random.chance(0.5) ? 0 : m_random.below(1500)));
 }
 
@@ -80,7 +80,7 @@
 void Soak::changeKind(std::size_t machine, const Resources &capacity, const std::string &kind)
 {
     PoolWorkerModel &worker = m_workers[machine]->model();
-    worker.rebirth(EventLoop::now());
+    m_workers[machine]->restart();
     worker.setKind(capacity, {kind, worker.announcement().labels.back()});
     if (m_random.chance(0.5)) {
         restart(agentOf(machine), Duration::zero());
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -2,6 +2,7 @@
 
 #include "Soak.h"
 
+#include "core/Log.h"
 #include "pool/PoolRows.h"
 
 #include <fstream>
@@ -334,6 +335,7 @@
 
 void Soak::fault(const std::string &what)
 {
+    Log::info("fault", {{"what", what}, {"at", toMilliseconds(EventLoop::now().time_since_epoch())}});
     std::cout << toMilliseconds(EventLoop::now() - (m_faultsEnd - m_options.faultTime)) << " ms: " << what << "\n";
 }
 
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -154,7 +154,7 @@
     switch (m_random.below(6)) {
     case 0:
         fault(name + " starts anew");
-        worker.model().rebirth(EventLoop::now());
+        worker.restart();
         break;
     case 1:
         fault(name + " carries out calls late");
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -99,7 +99,7 @@
             takeLate(request, m_random.chance(0.5) ? respond : nullptr);
         } else if (request.path == "/api/hold") {
             const Json body = Json::parse(request.body);
-            hold(request, respond, m_model.announcement().incarnation,
+            hold(request, m_waiting.insert(m_waiting.end(), respond), m_model.announcement().incarnation,
                  EventLoop::now() + fromMilliseconds(body.value("waitMs", std::int64_t{0})));
         } else {
             respond(carryOut(request));
@@ -159,33 +159,39 @@
     return jsonAnswer(statusOf(outcome), {{"reason", reason}});
 }
 
-void WorkerServer::hold(const ServerRequest &request, const HttpServer::Responder &respond, const WorkerIncarnation &incarnation,
-                        TimePoint until)
+void WorkerServer::restart()
 {
-    if (m_model.announcement().incarnation != incarnation) {
-        ServerResponse broken; // the process that took the call in has ended
-        broken.truncateBody = true;
+    m_model.rebirth(EventLoop::now());
+    ServerResponse broken; // the process that took the calls in has ended
+    broken.truncateBody = true;
+    for (const HttpServer::Responder &respond : std::exchange(m_waiting, {})) {
         respond(broken);
-        return;
+    }
+}
+
+void WorkerServer::hold(const ServerRequest &request, std::list<HttpServer::Responder>::iterator waiting,
+                        const WorkerIncarnation &incarnation, TimePoint until)
+{
+    if (m_model.announcement().incarnation != incarnation) {
+        return; // answered at the restart
     }
     const Json body = Json::parse(request.body);
     const TimePoint now = EventLoop::now();
     const std::optional<WorkerLists> lists = renew(body);
-    if (!lists) {
-        respond(jsonAnswer(statusConflict, {{"reason", "fence"}}));
-    } else if (lists->ends.empty() && now < until) {
+    if (lists && lists->ends.empty() && now < until) {
         constexpr Duration look = fromMilliseconds(20);
         ServerRequest again = request;
-        Json waiting = body;
-        waiting.erase("deadlineMs"); // the lease was renewed, and ends were forgotten, when the call came
-        waiting.erase("lastSeen");
-        again.body = waiting.dump();
-        m_loop.timers().subscribe(now + look, [this, again, respond, incarnation, until](TimePoint) {
-            hold(again, respond, incarnation, until);
+        Json later = body;
+        later.erase("deadlineMs"); // the lease was renewed, and ends were forgotten, when the call came
+        later.erase("lastSeen");
+        again.body = later.dump();
+        m_loop.timers().subscribe(now + look, [this, again, waiting, incarnation, until](TimePoint) {
+            hold(again, waiting, incarnation, until);
         });
-    } else {
-        respond(listsAnswer(*lists));
+        return;
     }
+    (*waiting)(lists ? listsAnswer(*lists) : jsonAnswer(statusConflict, {{"reason", "fence"}}));
+    m_waiting.erase(waiting);
 }
 
 std::optional<WorkerLists> WorkerServer::renew(const Json &body)
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -6,6 +6,7 @@
 #include "runtime/HttpClient.h"
 #include "runtime/LoopHttp.h"
 
+#include <list>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <string>
@@ -32,6 +33,9 @@
         return m_model;
     }
 
+    /// Ends the incarnation, which breaks its connections, and begins a new one.
+    void restart();
+
     /// Sets the share of calls that get no answer and are carried out seconds later, by whatever incarnation is there then.
     /// @param share The share.
     void setLateCalls(double share)
@@ -60,7 +64,8 @@
     void carryOutLate(const ServerRequest &request, std::int64_t sentTo, TimePoint now);
     ServerResponse carryOut(const ServerRequest &request);
     std::optional<WorkerLists> renew(const nlohmann::json &body);
-    void hold(const ServerRequest &request, const HttpServer::Responder &respond, const WorkerIncarnation &incarnation, TimePoint until);
+    void hold(const ServerRequest &request, std::list<HttpServer::Responder>::iterator waiting, const WorkerIncarnation &incarnation,
+              TimePoint until);
     ServerResponse listsAnswer(const WorkerLists &lists) const;
     void announce();
 
@@ -73,6 +78,7 @@
     double m_lateCalls = 0.0;
     double m_lateAnnouncements = 0.0;
     bool m_callsBeforeContact = true;
+    std::list<HttpServer::Responder> m_waiting; // calls for lists that wait for an end
     HttpServer m_server;
 };
 
