--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -45,7 +45,6 @@
     m_renewalEpoch = 0;
     m_nextRenewal = TimePoint();
     m_clockAtAnswer = Duration();
-    m_listsRequestedAt = TimePoint();
     m_runs.clear();
     m_ends.clear();
     m_acknowledgedEnd = 0;
@@ -195,10 +194,13 @@
         refuseStart(order.run, "agent is stopping");
     } else if (!m_runsKnown) {
         refuseStart(order.run, "worker has not reported its runs yet");
+    } else if (!isAnswering(now)) {
+        refuseStart(order.run, "worker does not answer"); // its clock and its lease are not known well enough
     } else if (m_incarnationUncertain) {
         refuseStart(order.run, "worker may have restarted");
     } else {
         Log::info("task_start_ordered", {{"run", describe(order.run)}, {"epoch", static_cast<std::int64_t>(m_epoch)}});
+        m_leaseSentAt = std::max(m_leaseSentAt, order.startBy - m_timing.lease); // the deadline of a start also extends the lease
         sendStart(m_starts[order.run] = {order}, now);
     }
 }
@@ -212,8 +214,17 @@
         return now - sent.second.second > m_timing.maxOrderDelay;
     });
     m_sentStarts[order.run] = {order, now};
-    m_actions.emplace_back(
-        StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, workerClock(now) + (order.startBy - now)});
+    const Duration startBy = workerClock(now) + (order.startBy - now);
+    Log::info("task_start_sent",
+              {{"run", describe(order.run)},
+               {"worker", order.incarnation.worker},
+               {"born", order.incarnation.startedUnixMilliseconds},
+               {"agent_process", static_cast<std::int64_t>(m_incarnation)},
+               {"epoch", static_cast<std::int64_t>(m_epoch)},
+               {"worker_clock_deadline_ms", toMilliseconds(startBy)},
+               {"lists_age_ms", toMilliseconds(now - m_listsReceivedAt)},
+               {"attempt", static_cast<std::int64_t>(pending.attempts)}});
+    m_actions.emplace_back(StartTask{order.run, order.incarnation, m_epoch, order.payload, order.checkpoint, startBy});
 }
 
 void WorkerSupervisor::carryOverOrders(TimePoint now)
@@ -282,11 +293,13 @@
         m_nextRenewal = now + m_timing.retryInterval;
         return;
     }
-    if (action.epoch > m_renewalEpoch) {
+    const bool outdated = areOutdated(*lists, action.sentAt);
+    // The applied lists are later than the call only if the worker's clock shows it.
+    if (action.epoch > m_renewalEpoch && (!outdated || lists->clock < m_clockAtAnswer)) {
         m_renewalEpoch = action.epoch;
         markChanged();
     }
-    if (!areOutdated(*lists, action.sentAt)) {
+    if (!outdated) {
         applyLists(*lists, action.sentAt, now);
     }
     m_nextRenewal = m_ends.empty() ? now : now + m_timing.retryInterval;
@@ -294,14 +307,14 @@
 
 bool WorkerSupervisor::areOutdated(const WorkerLists &lists, TimePoint sentAt) const
 {
-    // Answers on different connections may arrive out of order.
-    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt < m_listsRequestedAt));
+    // Answers on different connections may arrive out of order. The worker's clock counts milliseconds, so with the same value only a
+    // request sent after the receipt of the applied lists is known to have been executed later.
+    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt <= m_listsReceivedAt));
 }
 
 void WorkerSupervisor::applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now)
 {
     m_clockAtAnswer = lists.clock;
-    m_listsRequestedAt = sentAt;
     m_listsReceivedAt = now;
     std::erase_if(m_confirmed, [&](const auto &entry) {
         return entry.second < sentAt;
@@ -322,6 +335,7 @@
         m_stops.erase(end.run);
     }
     for (const RunReport &report : lists.runs) {
+        reportUnordered(report.run);
         m_confirmed.erase(report.run);
         if (m_closed.contains(report.run) && !m_stops.contains(report.run)) {
             beginStop(report.run, m_worker->incarnation, now);
@@ -348,6 +362,20 @@
     }
 }
 
+void WorkerSupervisor::reportUnordered(const RunName &run)
+{
+    if (isListed(run) || m_starts.contains(run) || m_confirmed.contains(run)) {
+        return;
+    }
+    // Expected in the first lists that a process sees; later it means that an order to an earlier incarnation was executed by this one.
+    m_counters.add(m_runsKnown ? Counter::PoolRunsUnordered : Counter::PoolRunsAdopted);
+    Log::info(m_runsKnown ? "run_unordered" : "run_adopted",
+              {{"run", describe(run)},
+               {"worker", m_worker->incarnation.worker},
+               {"born", m_worker->incarnation.startedUnixMilliseconds},
+               {"agent_process", static_cast<std::int64_t>(m_incarnation)}});
+}
+
 void WorkerSupervisor::closeExpiredStarts(TimePoint listedAt)
 {
     // An unanswered start can no longer take effect if lists requested after its start deadline don't contain it. The deadline is checked
@@ -517,6 +545,12 @@
         }
         pending.outstanding = true;
         ++pending.attempts;
+        Log::info("task_stop_sent",
+                  {{"run", describe(run)},
+                   {"worker", pending.order.incarnation.worker},
+                   {"born", pending.order.incarnation.startedUnixMilliseconds},
+                   {"epoch", static_cast<std::int64_t>(m_epoch)},
+                   {"attempt", static_cast<std::int64_t>(pending.attempts)}});
         m_actions.emplace_back(StopTask{run, pending.order.incarnation, m_epoch});
     }
     for (const RunName &run : finished) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -180,6 +180,7 @@
     void applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now);
     void sendStart(PendingOrder &pending, TimePoint now);
     bool canRetryStart(const PendingOrder &pending, const StartTask &action, TimePoint now) const;
+    void reportUnordered(const RunName &run);
     void closeExpiredStarts(TimePoint listedAt);
     Duration workerClock(TimePoint now) const;
     bool isListed(const RunName &run) const;
@@ -204,7 +205,7 @@
     bool m_pollImmediately = false; // requests newer lists at once, in addition to a waiting request
     std::uint64_t m_renewalEpoch = 0; // highest epoch that the worker is guaranteed to have seen
     TimePoint m_renewalSentAt{};
-    TimePoint m_leaseSentAt{}; // when the last renewal of the lease was sent, answered or not
+    TimePoint m_leaseSentAt{}; // the lease, extended by renewals and starts, ends at most its duration later, answered or not
     bool m_silent = false;
     bool m_connectionRefused = false;
     bool m_incarnationUncertain = false; // the worker has probably restarted but not announced it yet
@@ -212,7 +213,6 @@
     bool m_leaseExpired = false;
     TimePoint m_nextRenewal{};
     Duration m_clockAtAnswer{};
-    TimePoint m_listsRequestedAt{}; // when the applied lists were requested
     TimePoint m_listsReceivedAt{};
     std::vector<RunReport> m_runs;
     std::vector<RunEnd> m_ends;
