--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -40,11 +40,12 @@
     request.epoch = m_epoch;
     if (worker.known) {
         request.validUntil = worker.agentClock(now) + m_timing.callValidity;
-        request.renews = m_renewalsAllowed && !isSilent(worker, now);
+        request.renews = m_renewalsAllowed && worker.status.runsKnown && !isSilent(worker, now);
         request.knownIncarnation = worker.status.agentIncarnation;
         request.knownStatus = worker.status.number;
         request.acknowledgedIncarnation = worker.status.worker.incarnation;
         request.acknowledgedEnd = worker.recordedEnd;
+        request.workerFence = worker.fencedIncarnation == worker.status.worker.incarnation ? worker.workerFence : 0;
         request.wait = waits ? pollWait() : Duration();
         if (!worker.orders.empty()) {
             request.orders = std::exchange(worker.orders, {});
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -17,7 +17,6 @@
     TimePoint statusRequestedAt{}; ///< When the call that returned the latest status was sent.
     TimePoint statusReceivedAt{}; ///< When the latest status was received.
     TimePoint lastRenewalSent{}; ///< Latest time at which this owner or an earlier one can have sent a renewal.
-    TimePoint lastAgentRenewal{}; ///< Latest time at which the agent can have renewed the worker's lease, according to its statuses.
     bool pollInFlight = false; ///< A long-polling call is in flight.
     std::uint64_t pollCall = 0; ///< Number of the long-polling call.
     TimePoint nextPoll{}; ///< When to poll next; later than now only after a failure.
@@ -25,6 +24,8 @@
     std::vector<TaskOrder> orders; ///< Orders that are not sent yet.
     std::uint64_t processedEnd = 0; ///< Ends up to and including this number are applied to the jobs.
     std::uint64_t recordedEnd = 0; ///< Ends up to and including this number are recorded in the table service.
+    std::uint64_t workerFence = 0; ///< Latest fencing token that an agent process has used for `fencedIncarnation`.
+    WorkerIncarnation fencedIncarnation; ///< Incarnation of the worker that `workerFence` was used for.
     std::uint32_t consecutiveFailures = 0; ///< Failed tasks since the last successful one.
     TimePoint suspectedUntil{}; ///< Other workers are preferred until this time.
     TimePoint quarantinedUntil{}; ///< No task is placed on the worker until this time.
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/Endpoint.h"
 #include "core/Log.h"
 #include "pool/GraphTable.h"
 #include "pool/OwnerRow.h"
@@ -68,7 +69,14 @@
     /// @return Version of the owner's row; zero if there is none.
     std::uint64_t ownerVersion() const
     {
-        return m_ownerVersion;
+        return m_ownerErased ? 0 : m_ownerVersion;
+    }
+
+    /// @return Epoch of the next owner. Above the versions of the row, it exceeds all earlier ones, even if another writer has changed the
+    /// row.
+    std::uint64_t nextEpoch() const
+    {
+        return m_ownerVersion + 1;
     }
 
     /// @return Time of the last observed change of the owner's row, or of the end of the last table service outage if that is later.
@@ -221,6 +229,10 @@
                 m_operators.outDomains.clear(); // a full read does not list erased rows
             }
             adopt(result.rows);
+            if (&followed == &m_poolTable && m_ownerVersion != 0
+                && std::ranges::find(result.rows, PoolRows::ownerKey, &TableRow::key) == result.rows.end()) {
+                adoptOwner({followed.table, std::string(PoolRows::ownerKey), result.version, {}, true});
+            }
             followed.version = result.version;
             followed.loaded = true;
             followed.currentAsOf = sentAt;
@@ -277,8 +289,11 @@
         } else if (row.key == PoolRows::ownerKey) {
             adoptOwner(row);
         } else if (const auto agent = PoolRows::nameIn(row.key, PoolRows::workerPrefix)) {
+            const std::optional<Endpoint> endpoint = Endpoint::parse(*agent);
             if (row.erased) {
                 m_agents.erase(*agent);
+            } else if (!endpoint || endpoint->toString() != *agent) { // a second spelling would count the same worker twice
+                Log::warning("agent_row_ignored", {{"row", row.key}, {"reason", std::string("not an IPv4 address with a port")}});
             } else {
                 m_agents.insert(*agent);
             }
@@ -292,10 +307,13 @@
         if (row.version <= m_ownerVersion) {
             return;
         }
-        const std::optional<OwnerRow> owner = decodeOwnerRow(row.value);
+        m_ownerErased = row.erased;
+        std::optional<OwnerRow> owner = decodeOwnerRow(row.value, row.version);
         if (!owner) {
+            // The pool has no known owner and can be acquired, like after the owner's silence: earlier owners may still renew leases.
             Log::warning("owner_row_unreadable", {{"version", static_cast<std::int64_t>(row.version)}});
-            return;
+            owner = OwnerRow();
+            owner->earlierOwnersExpired = false;
         }
         if (owner->epoch != m_owner.epoch) {
             Log::info("owner_changed", {{"owner", owner->owner}, {"epoch", static_cast<std::int64_t>(owner->epoch)}});
@@ -345,7 +363,8 @@
     OperatorView m_operators;
     std::set<std::string> m_agents;
     OwnerRow m_owner;
-    std::uint64_t m_ownerVersion = 0;
+    std::uint64_t m_ownerVersion = 0; // of its last write, or of its erasure
+    bool m_ownerErased = false;
     TimePoint m_ownerSeenAt{};
     StorePace m_pace;
     TimePoint m_lastContactAt{}; // last answer of the table service
