--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -119,9 +119,9 @@
     }
 
     /// @return Highest fencing token that this incarnation has seen.
-    std::uint64_t epoch() const
+    std::uint64_t fence() const
     {
-        return m_epoch;
+        return m_fence;
     }
 
     /// @return What its runs hold.
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -121,7 +121,7 @@
 void WorkerServer::carryOutLate(const ServerRequest &request, std::int64_t sentTo, TimePoint now)
 {
     const std::int64_t startedAt = m_model.announcement().incarnation.startedUnixMilliseconds;
-    const std::uint64_t seen = m_model.epoch();
+    const std::uint64_t seen = m_model.fence();
     if (!m_callsBeforeContact && seen == 0 && sentTo != startedAt) {
         constexpr Duration pause = fromMilliseconds(10);
         m_loop.timers().subscribe(now + pause, [this, request, sentTo](TimePoint later) {
