--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -73,6 +73,15 @@
         m_clockRate = rate;
     }
 
+    /// Gives the worker another room and other labels; it must run nothing.
+    /// @param capacity What its tasks may hold together.
+    /// @param labels Its labels.
+    void setKind(const Resources &capacity, std::vector<std::string> labels)
+    {
+        m_announcement.capacity = capacity;
+        m_announcement.labels = std::move(labels);
+    }
+
     /// @return What the worker says of itself, with a new number.
     WorkerAnnouncement announce()
     {
@@ -120,6 +129,12 @@
         return m_announcement;
     }
 
+    /// @return Highest fencing token that this incarnation has seen.
+    std::uint64_t fence() const
+    {
+        return m_fence;
+    }
+
     /// @return What its runs hold.
     Resources used() const;
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -16,6 +16,12 @@
 namespace banyanlock
 {
 
+/// Room of a worker, unless a fault has changed it.
+inline constexpr Resources usualCapacity{128000, 256000, 8};
+
+/// Kind of a worker, unless a fault has changed it.
+inline constexpr const char *usualKind = "kind";
+
 /// Size and length of a soak.
 struct SoakOptions {
     std::uint64_t seed = 1; ///< Seed of loads and faults.
@@ -24,6 +30,7 @@
     std::uint16_t firstPort = 26000; ///< First of the ports that are used.
     std::size_t entries = 3; ///< Entries.
     std::size_t workers = 6; ///< Workers, each with an agent.
+    bool callsBeforeContact = true; ///< Late calls may reach a new incarnation of a worker before its agent has called it.
     Duration faultTime = fromMilliseconds(12000); ///< Time for which faults are injected.
     Duration settleTime = fromMilliseconds(45000); ///< Longest time after it in which all accepted jobs must end.
 };
@@ -75,6 +82,17 @@
     void harmStore();
     void harmLinks();
     void harmWorker();
+    void harmMachine();
+    void pauseProcesses();
+    void makeCallsLate(double share);
+    void restart(SoakProcess &process, Duration after);
+    void losePower(std::size_t machine);
+    void losePowerOfAll(std::uint32_t times);
+    void changeKind(std::size_t machine, const Resources &capacity, const std::string &kind);
+    SoakProcess &agentOf(std::size_t machine)
+    {
+        return *m_processes[m_options.entries + machine];
+    }
     void heal();
     void checkSettled();
     void finish();
@@ -92,6 +110,7 @@
     std::vector<std::unique_ptr<SoakProxy>> m_storeProxies; // by process
     std::vector<std::unique_ptr<SoakProxy>> m_workerProxies; // by worker
     std::vector<std::unique_ptr<SoakProxy>> m_callerProxies; // by entry
+    std::vector<std::unique_ptr<SoakProxy>> m_agentProxies; // by worker, between entries and agents
     std::vector<std::unique_ptr<SoakProcess>> m_processes; // entries, then agents
     std::map<std::string, std::pair<std::string, std::string>> m_specs; // body by job
     std::map<std::string, Job> m_jobs;
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -1,6 +1,7 @@
 #include "WorkerServer.h"
 
 #include "JsonAnswer.h"
+#include "core/Log.h"
 
 #include <array>
 #include <charconv>
@@ -94,31 +95,52 @@
         return;
     }
     try {
-        if (request.path == "/api/hold") {
+        if (m_random.chance(m_lateCalls)) {
+            takeLate(request, m_random.chance(0.5) ? respond : nullptr);
+        } else if (request.path == "/api/hold") {
             const Json body = Json::parse(request.body);
-            hold(request, respond, m_model.announcement().incarnation,
+            hold(request, m_waiting.insert(m_waiting.end(), respond), m_model.announcement().incarnation,
                  EventLoop::now() + fromMilliseconds(body.value("waitMs", std::int64_t{0})));
         } else {
-            order(request, respond);
+            respond(carryOut(request));
         }
     } catch (const Json::exception &) {
         respond(jsonAnswer(statusBadRequest, Json::object()));
     }
 }
 
-void WorkerServer::order(const ServerRequest &request, const HttpServer::Responder &respond)
+void WorkerServer::takeLate(const ServerRequest &request, const HttpServer::Responder &kept)
 {
-    if (!m_random.chance(m_lateOrders)) {
-        respond(carryOut(request));
+    const Duration late = fromMilliseconds(2000 + m_random.below(10000));
+    const std::int64_t sentTo = m_model.announcement().incarnation.startedUnixMilliseconds;
+    m_loop.timers().subscribe(EventLoop::now() + late, [this, request, kept, sentTo](TimePoint now) {
+        carryOutLate(request, sentTo, now);
+    });
+}
+
+void WorkerServer::carryOutLate(const ServerRequest &request, std::int64_t sentTo, TimePoint now)
+{
+    const std::int64_t startedAt = m_model.announcement().incarnation.startedUnixMilliseconds;
+    const std::uint64_t seen = m_model.fence();
+    if (!m_callsBeforeContact && seen == 0 && sentTo != startedAt) {
+        constexpr Duration pause = fromMilliseconds(10);
+        m_loop.timers().subscribe(now + pause, [this, request, sentTo](TimePoint later) {
+            carryOutLate(request, sentTo, later);
+        });
         return;
     }
-    const Duration late = fromMilliseconds(2000 + m_random.below(8000));
-    const WorkerIncarnation incarnation = m_model.announcement().incarnation; // what this process took in ends with it
-    m_loop.timers().subscribe(EventLoop::now() + late, [this, request, incarnation](TimePoint) {
-        if (m_model.announcement().incarnation == incarnation) {
-            carryOut(request);
-        }
-    });
+    const Json body = Json::parse(request.body);
+    const int status = request.path == "/api/hold" ? (renew(body) ? 200 : statusConflict) : carryOut(request).status;
+    Log::info("late_call",
+              {{"path", request.path},
+               {"run", body.value("task", "") + "#" + std::to_string(body.value("run", 0))},
+               {"worker", m_model.announcement().incarnation.worker},
+               {"token", body.value("fencingToken", std::int64_t{0})},
+               {"seen", static_cast<std::int64_t>(seen)},
+               {"sent_to", sentTo},
+               {"born", startedAt},
+               {"status", static_cast<std::int64_t>(status)},
+               {"at", toMilliseconds(now.time_since_epoch())}});
 }
 
 ServerResponse WorkerServer::carryOut(const ServerRequest &request)
@@ -137,40 +159,51 @@
     return jsonAnswer(statusOf(outcome), {{"reason", reason}});
 }
 
-void WorkerServer::hold(const ServerRequest &request, const HttpServer::Responder &respond, const WorkerIncarnation &incarnation,
-                        TimePoint until)
+void WorkerServer::restart()
 {
-    if (m_model.announcement().incarnation != incarnation) {
-        ServerResponse broken; // the process that took the call in has ended
-        broken.truncateBody = true;
+    m_model.rebirth(EventLoop::now());
+    ServerResponse broken; // the process that took the calls in has ended
+    broken.truncateBody = true;
+    for (const HttpServer::Responder &respond : std::exchange(m_waiting, {})) {
         respond(broken);
-        return;
+    }
+}
+
+void WorkerServer::hold(const ServerRequest &request, std::list<HttpServer::Responder>::iterator waiting,
+                        const WorkerIncarnation &incarnation, TimePoint until)
+{
+    if (m_model.announcement().incarnation != incarnation) {
+        return; // answered at the restart
     }
     const Json body = Json::parse(request.body);
     const TimePoint now = EventLoop::now();
+    const std::optional<WorkerLists> lists = renew(body);
+    if (lists && lists->ends.empty() && now < until) {
+        constexpr Duration look = fromMilliseconds(20);
+        ServerRequest again = request;
+        Json later = body;
+        later.erase("deadlineMs"); // the lease was renewed, and ends were forgotten, when the call came
+        later.erase("lastSeen");
+        again.body = later.dump();
+        m_loop.timers().subscribe(now + look, [this, again, waiting, incarnation, until](TimePoint) {
+            hold(again, waiting, incarnation, until);
+        });
+        return;
+    }
+    (*waiting)(lists ? listsAnswer(*lists) : jsonAnswer(statusConflict, {{"reason", "fence"}}));
+    m_waiting.erase(waiting);
+}
+
+std::optional<WorkerLists> WorkerServer::renew(const Json &body)
+{
     RenewWorker action;
     action.fence = body.value("fencingToken", std::uint64_t{0});
     action.acknowledgedEnd = body.value("lastSeen", std::uint64_t{0});
-    action.incarnation = incarnation;
+    action.incarnation = m_model.announcement().incarnation;
     if (body.contains("deadlineMs")) {
         action.leaseEnd = fromMilliseconds(body["deadlineMs"].get<std::int64_t>());
     }
-    const std::optional<WorkerLists> lists = m_model.renew(action, now);
-    if (!lists) {
-        respond(jsonAnswer(statusConflict, {{"reason", "fence"}}));
-    } else if (lists->ends.empty() && now < until) {
-        constexpr Duration look = fromMilliseconds(20);
-        ServerRequest again = request;
-        Json waiting = body;
-        waiting.erase("deadlineMs"); // the lease was renewed, and ends were forgotten, when the call came
-        waiting.erase("lastSeen");
-        again.body = waiting.dump();
-        m_loop.timers().subscribe(now + look, [this, again, respond, incarnation, until](TimePoint) {
-            hold(again, respond, incarnation, until);
-        });
-    } else {
-        respond(listsAnswer(*lists));
-    }
+    return m_model.renew(action, EventLoop::now());
 }
 
 ServerResponse WorkerServer::listsAnswer(const WorkerLists &lists) const
@@ -206,7 +239,10 @@
                         {"seq", worker.sequence}}
                        .dump();
     request.timeoutMilliseconds = 1000;
-    m_http.send(std::move(request), [](const HttpReply &) {
+    const Duration late = m_random.chance(m_lateAnnouncements) ? fromMilliseconds(500 + m_random.below(8000)) : Duration::zero();
+    m_loop.timers().subscribe(EventLoop::now() + late, [this, request](TimePoint) {
+        m_http.send(request, [](const HttpReply &) {
+        });
     });
 }
 
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -6,6 +6,9 @@
 #include "runtime/HttpClient.h"
 #include "runtime/LoopHttp.h"
 
+#include <list>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 
 namespace banyanlock
@@ -20,7 +23,7 @@
     /// @param endpoint Where the agent reaches it.
     /// @param announceUrl Where it announces itself.
     /// @param model The worker.
-    /// @param random Which orders come late.
+    /// @param random Which calls and announcements come late.
     WorkerServer(EventLoop &loop, HttpClient &http, const Endpoint &endpoint, std::string announceUrl, PoolWorkerModel model,
                  Random &random);
 
@@ -30,18 +33,39 @@
         return m_model;
     }
 
-    /// Sets the share of orders that get no answer and are carried out seconds later.
+    /// Ends the incarnation, which breaks its connections, and begins a new one.
+    void restart();
+
+    /// Sets the share of calls that get no answer and are carried out seconds later, by whatever incarnation is there then.
+    /// @param share The share.
+    void setLateCalls(double share)
+    {
+        m_lateCalls = share;
+    }
+
+    /// Sets whether late calls to an earlier incarnation may reach a new one before its agent has called it; otherwise they come after
+    /// that.
+    /// @param allowed Whether they may.
+    void setCallsBeforeContact(bool allowed)
+    {
+        m_callsBeforeContact = allowed;
+    }
+
+    /// Sets the share of announcements that arrive seconds later.
     /// @param share The share.
-    void setLateOrders(double share)
+    void setLateAnnouncements(double share)
     {
-        m_lateOrders = share;
+        m_lateAnnouncements = share;
     }
 
 private:
     void serve(const ServerRequest &request, const HttpServer::Responder &respond);
-    void order(const ServerRequest &request, const HttpServer::Responder &respond);
+    void takeLate(const ServerRequest &request, const HttpServer::Responder &kept); // while kept, its connection stays silent
+    void carryOutLate(const ServerRequest &request, std::int64_t sentTo, TimePoint now);
     ServerResponse carryOut(const ServerRequest &request);
-    void hold(const ServerRequest &request, const HttpServer::Responder &respond, const WorkerIncarnation &incarnation, TimePoint until);
+    std::optional<WorkerLists> renew(const nlohmann::json &body);
+    void hold(const ServerRequest &request, std::list<HttpServer::Responder>::iterator waiting, const WorkerIncarnation &incarnation,
+              TimePoint until);
     ServerResponse listsAnswer(const WorkerLists &lists) const;
     void announce();
 
@@ -51,7 +75,10 @@
     PoolWorkerModel m_model;
     Random &m_random;
     Counters m_counters;
-    double m_lateOrders = 0.0;
+    double m_lateCalls = 0.0;
+    double m_lateAnnouncements = 0.0;
+    bool m_callsBeforeContact = true;
+    std::list<HttpServer::Responder> m_waiting; // calls for lists that wait for an end
     HttpServer m_server;
 };
 
