Let the soak lose workers' answers with their connections while workers refuse starts

The soak could not show that a request is resent below the layer that counts attempts: its workers answered late or not at all.

--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -30,6 +30,7 @@
     std::uint16_t firstPort = 26000; ///< First of the ports that are used.
     std::size_t entries = 3; ///< Entries.
     std::size_t workers = 6; ///< Workers, each with an agent.
+    bool cutAnswers = false; ///< Connections close in place of half of the workers' answers, and workers refuse a part of the starts.
     bool callsBeforeContact = true; ///< Late calls may reach a new incarnation of a worker before its agent has called it.
     Duration faultTime = fromMilliseconds(12000); ///< Time for which faults are injected.
     Duration settleTime = fromMilliseconds(45000); ///< Longest time after it in which all accepted jobs must end.
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -185,6 +185,7 @@
     for (std::size_t machine = 0; machine < m_workers.size(); ++machine) {
         m_workers[machine]->model().setFailing(false);
         m_workers[machine]->model().setSlowness(1.0);
+        m_workers[machine]->setBusy(0.0);
         if (m_workers[machine]->model().announcement().capacity != usualCapacity) {
             changeKind(machine, usualCapacity, usualKind);
         }
--- a/tests/soak/SoakProxy.cpp
+++ b/tests/soak/SoakProxy.cpp
@@ -3,6 +3,7 @@
 #include <array>
 #include <asio/steady_timer.hpp>
 #include <asio/write.hpp>
+#include <utility>
 
 namespace banyanlock
 {
@@ -110,24 +111,25 @@
 void SoakProxy::pump(const std::shared_ptr<Session> &session, bool fromClient)
 {
     Tcp::socket &source = fromClient ? session->client : session->server;
-    source.async_read_some(asio::buffer(session->buffers[fromClient ? 1 : 0]),
-                           [this, session, fromClient](const asio::error_code &error, std::size_t count) {
-                               if (error) {
-                                   close(session);
-                               } else if (fromClient ? session->muteToServer : session->muteToClient) {
-                                   pump(session, fromClient);
-                               } else if (m_fault == ProxyFault::Delayed) {
-                                   asio::steady_timer &timer = session->timers[fromClient ? 1 : 0];
-                                   timer.expires_after(m_delay);
-                                   timer.async_wait([this, session, fromClient, count](const asio::error_code &stopped) {
-                                       if (!stopped) {
-                                           passOn(session, fromClient, count);
-                                       }
-                                   });
-                               } else {
-                                   passOn(session, fromClient, count);
-                               }
-                           });
+    source.async_read_some(
+        asio::buffer(session->buffers[fromClient ? 1 : 0]), [this, session, fromClient](const asio::error_code &error, std::size_t count) {
+            const bool cut = !error && !fromClient && m_fault == ProxyFault::AnswersCut && std::exchange(m_cutsNext, !m_cutsNext);
+            if (error || cut) {
+                close(session);
+            } else if (fromClient ? session->muteToServer : session->muteToClient) {
+                pump(session, fromClient);
+            } else if (m_fault == ProxyFault::Delayed) {
+                asio::steady_timer &timer = session->timers[fromClient ? 1 : 0];
+                timer.expires_after(m_delay);
+                timer.async_wait([this, session, fromClient, count](const asio::error_code &stopped) {
+                    if (!stopped) {
+                        passOn(session, fromClient, count);
+                    }
+                });
+            } else {
+                passOn(session, fromClient, count);
+            }
+        });
 }
 
 void SoakProxy::passOn(const std::shared_ptr<Session> &session, bool fromClient, std::size_t count)
--- a/tests/soak/SoakProxy.h
+++ b/tests/soak/SoakProxy.h
@@ -17,6 +17,7 @@
     Delayed, ///< It passes them on later.
     Silenced, ///< It takes them and passes nothing on; connections of that time stay silent.
     AnswersLost, ///< It passes on what clients send, and no answers; connections of that time stay so.
+    AnswersCut, ///< It passes on what clients send, and closes the connection in place of each second answer.
     Refusing, ///< It closes new connections at once.
 };
 
@@ -53,6 +54,7 @@
     asio::ip::tcp::endpoint m_target;
     ProxyFault m_fault = ProxyFault::None;
     Duration m_delay{};
+    bool m_cutsNext = false; // of `AnswersCut`
     std::list<std::weak_ptr<Session>> m_sessions;
 };
 
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -21,6 +21,7 @@
 constexpr Duration heartbeat = fromMilliseconds(1000);
 constexpr int statusBadRequest = 400;
 constexpr int statusConflict = 409;
+constexpr int statusUnavailable = 503;
 constexpr int statusOtherInstance = 421;
 
 TaskName taskOf(const std::string &text)
@@ -101,6 +102,8 @@
             const Json body = Json::parse(request.body);
             hold(request, m_waiting.insert(m_waiting.end(), respond), m_model.announcement().incarnation,
                  EventLoop::now() + fromMilliseconds(body.value("waitMs", std::int64_t{0})));
+        } else if (m_busy > 0.0 && request.path == "/api/run-start" && m_random.chance(m_busy)) {
+            respond(jsonAnswer(statusUnavailable, Json::object()));
         } else {
             respond(carryOut(request));
         }
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -51,6 +51,13 @@
         m_callsBeforeContact = allowed;
     }
 
+    /// Sets the share of starts that are refused without effect, since the worker is busy.
+    /// @param share The share.
+    void setBusy(double share)
+    {
+        m_busy = share;
+    }
+
     /// Sets the share of announcements that arrive seconds later.
     /// @param share The share.
     void setLateAnnouncements(double share)
@@ -77,6 +84,7 @@
     Counters m_counters;
     double m_lateCalls = 0.0;
     double m_lateAnnouncements = 0.0;
+    double m_busy = 0.0;
     bool m_callsBeforeContact = true;
     std::list<HttpServer::Responder> m_waiting; // calls for lists that wait for an end
     HttpServer m_server;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -18,6 +18,7 @@
     options.add_options()("entries", "number of entries", cxxopts::value<std::size_t>()->default_value("3"));
     options.add_options()("workers", "number of workers", cxxopts::value<std::size_t>()->default_value("6"));
     options.add_options()("port", "first port", cxxopts::value<std::uint16_t>()->default_value("26000"));
+    options.add_options()("cut-answers", "half of the workers' answers are lost with their connection, and workers refuse starts");
     options.add_options()("after-contact", "late calls reach a new worker incarnation only after its agent's first call");
     options.add_options()("log", "writes what the workers see");
     try {
@@ -36,6 +37,7 @@
             soak.firstPort = given["port"].as<std::uint16_t>();
             soak.entries = given["entries"].as<std::size_t>();
             soak.workers = given["workers"].as<std::size_t>();
+            soak.cutAnswers = given.count("cut-answers") != 0;
             soak.callsBeforeContact = given.count("after-contact") == 0;
             soak.faultTime = std::chrono::seconds(given["seconds"].as<int>());
             std::filesystem::create_directories(soak.directory);
