--- /dev/null
+++ b/src/pool/SupervisorLists.cpp
@@ -0,0 +1,220 @@
+// WorkerSupervisor: renewals, the worker's lists, and its silence.
+
+#include "core/Log.h"
+#include "pool/WorkerSupervisor.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace banyanlock
+{
+
+Duration WorkerSupervisor::workerClock(TimePoint now) const
+{
+    return m_clockAtAnswer + (now - m_listsReceivedAt);
+}
+
+void WorkerSupervisor::onLists(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now)
+{
+    if (!m_worker || action.incarnation != m_worker->incarnation) {
+        return;
+    }
+    m_renewalInFlight = false;
+    if (answer.refused != m_connectionRefused) {
+        m_connectionRefused = answer.refused;
+        Log::info(m_connectionRefused ? "worker_refuses" : "worker_listens", {{"worker", m_worker->incarnation.worker}});
+        markChanged();
+    }
+    const std::optional<WorkerLists> &lists = answer.lists;
+    const bool otherIncarnation = lists && lists->startedUnixMilliseconds != m_worker->incarnation.startedUnixMilliseconds;
+    m_endNumbersUncertain = !lists || otherIncarnation; // a restarting worker drops its connections
+    if (m_endNumbersUncertain) {
+        onListsLost(action, answer, otherIncarnation, now);
+        return;
+    }
+    m_incarnationUncertain = false;
+    const bool outdated = areOutdated(*lists, action.sentAt);
+    // The applied lists are later than the call only if the worker's clock shows it.
+    if (!outdated || lists->clock < m_clockAtAnswer) {
+        recordProof(action);
+    }
+    if (!outdated) {
+        applyLists(*lists, action.sentAt, now);
+    }
+    m_nextRenewal = m_ends.empty() ? now : now + m_timing.retryInterval;
+}
+
+void WorkerSupervisor::onListsLost(const RenewWorker &action, const RenewalAnswer &answer, bool otherIncarnation, TimePoint now)
+{
+    const bool wasUncertain
+        = std::exchange(m_incarnationUncertain, m_incarnationUncertain || answer.refused || answer.disconnected || otherIncarnation);
+    if (action.fence == m_fence && !answer.refused && !answer.rejected) {
+        raiseFence(); // a worker that has restarted may still execute what was sent to its earlier incarnation
+    }
+    m_pollImmediately
+        = m_pollImmediately || (m_runsKnown && action.wait == Duration::zero()); // the state that this request was to show is still unknown
+    m_nextRenewal = answer.disconnected && !wasUncertain ? now : now + m_timing.retryInterval;
+}
+
+void WorkerSupervisor::recordProof(const RenewWorker &action)
+{
+    const bool wasFenced = isFenced();
+    m_provenFence = std::max(m_provenFence, action.fence);
+    if (action.epoch > m_renewalEpoch || wasFenced != isFenced()) {
+        m_renewalEpoch = std::max(m_renewalEpoch, action.epoch);
+        markChanged();
+    }
+}
+
+bool WorkerSupervisor::areOutdated(const WorkerLists &lists, TimePoint sentAt) const
+{
+    // Answers on different connections may arrive out of order. The worker's clock counts milliseconds, so with the same value only a
+    // request sent after the receipt of the applied lists is known to have been executed later.
+    return m_runsKnown && (lists.clock < m_clockAtAnswer || (lists.clock == m_clockAtAnswer && sentAt <= m_listsReceivedAt));
+}
+
+void WorkerSupervisor::applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now)
+{
+    m_clockAtAnswer = lists.clock;
+    m_listsReceivedAt = now;
+    const bool omitsConfirmed = std::erase_if(m_confirmed,
+                                              [&](const auto &entry) {
+                                                  return entry.second < sentAt;
+                                              })
+        != 0;
+    std::vector<RunEnd> ends;
+    const bool maybeCut = lists.ends.size() >= maxListedEnds; // the owner recognises it by the number of ends
+    for (const RunEnd &end : lists.ends) {
+        if (maybeCut || end.number > m_acknowledgedEnd) {
+            ends.push_back(end);
+        }
+    }
+    const auto sameRun = [](const RunReport &left, const RunReport &right) {
+        return left.run == right.run && left.checkpoint == right.checkpoint;
+    };
+    const bool isUpdate
+        = !m_runsKnown || m_silent || omitsConfirmed || ends.size() != m_ends.size() || !std::ranges::equal(lists.runs, m_runs, sameRun);
+    for (const RunEnd &end : ends) {
+        m_starts.erase(end.run);
+        m_confirmed.erase(end.run);
+        m_stops.erase(end.run);
+    }
+    for (const RunReport &report : lists.runs) {
+        reportUnordered(report.run);
+        m_confirmed.erase(report.run);
+        if (m_closed.contains(report.run) && !m_stops.contains(report.run)) {
+            beginStop(report.run, m_worker->incarnation, now);
+        }
+    }
+    m_runs = lists.runs;
+    m_ends = std::move(ends);
+    m_silent = false;
+    m_leaseExpired = false;
+    if (!m_runsKnown) {
+        m_leaseSentAt = now; // an earlier process of the agent may have renewed the lease until now
+        Log::info("worker_lists_learned",
+                  {{"worker", m_worker->incarnation.worker},
+                   {"runs", static_cast<std::int64_t>(m_runs.size())},
+                   {"ends", static_cast<std::int64_t>(m_ends.size())}});
+    }
+    m_runsKnown = true;
+    closeExpiredStarts(sentAt);
+    if (isUpdate) {
+        markChanged();
+    }
+}
+
+void WorkerSupervisor::reportUnordered(const RunName &run)
+{
+    if (isListed(run) || m_starts.contains(run) || m_confirmed.contains(run)) {
+        return;
+    }
+    // Expected in the first lists that a process sees; later it means that an order to an earlier incarnation was executed by this one.
+    m_counters.add(m_runsKnown ? Counter::PoolRunsUnordered : Counter::PoolRunsAdopted);
+    Log::info(m_runsKnown ? "run_unordered" : "run_adopted",
+              {{"run", describe(run)},
+               {"worker", m_worker->incarnation.worker},
+               {"born", m_worker->incarnation.startedUnixMilliseconds},
+               {"agent_process", static_cast<std::int64_t>(m_incarnation)}});
+}
+
+void WorkerSupervisor::closeExpiredStarts(TimePoint listedAt)
+{
+    // An unanswered start can no longer take effect if lists requested after its start deadline don't contain it. The deadline is checked
+    // against the worker's clock, which may run slow or stand still while the machine is suspended.
+    constexpr Duration clockSlack = fromMilliseconds(300);
+    std::vector<RunName> expired;
+    for (const auto &[run, pending] : m_starts) {
+        const bool isPast = listedAt > pending.order.startBy + clockSlack && m_clockAtAnswer > pending.workerDeadline;
+        if (!pending.outstanding && isPast && !isListed(run)) {
+            expired.push_back(run);
+        }
+    }
+    for (const RunName &run : expired) {
+        m_starts.erase(run);
+        m_stops.erase(run);
+        refuseStart(run, "no answer before the start-by limit");
+    }
+}
+
+bool WorkerSupervisor::isAnswering(TimePoint now) const
+{
+    return now - m_listsReceivedAt <= m_timing.silenceTimeout;
+}
+
+void WorkerSupervisor::checkSilence(TimePoint now)
+{
+    if (!m_runsKnown || isAnswering(now)) {
+        return;
+    }
+    if (!m_silent) {
+        m_silent = true;
+        markChanged();
+        Log::warning("worker_silent", {{"worker", m_worker->incarnation.worker}, {"silent_ms", toMilliseconds(now - m_listsReceivedAt)}});
+    }
+    if (now > m_leaseSentAt + m_timing.lease + m_timing.leaseSlack) {
+        // The worker stops all its tasks when its lease expires.
+        m_runsKnown = false;
+        m_leaseExpired = true;
+        m_runs.clear();
+        m_starts.clear();
+        m_confirmed.clear();
+        m_stops.clear();
+        markChanged();
+        Log::warning("worker_lapsed", {{"worker", m_worker->incarnation.worker}, {"silent_ms", toMilliseconds(now - m_listsReceivedAt)}});
+    }
+}
+
+void WorkerSupervisor::sendRenewal(TimePoint now)
+{
+    if (!m_worker || m_epoch == 0 || m_fence == 0 || now < m_nextRenewal) {
+        return;
+    }
+    if (m_renewalInFlight && !m_pollImmediately && m_renewalEpoch >= m_epoch
+        && now - m_renewalSentAt < m_timing.pollWait + m_timing.answerMargin) {
+        return;
+    }
+    if (m_renewalInFlight && !m_pollImmediately && now - m_renewalSentAt < m_timing.retryInterval) {
+        return;
+    }
+    RenewWorker renewal;
+    renewal.epoch = m_epoch;
+    renewal.fence = m_fence;
+    renewal.acknowledgedEnd = m_endNumbersUncertain ? 0 : m_acknowledgedEnd;
+    renewal.incarnation = m_worker->incarnation;
+    const Duration sinceContact = now - m_ownerContact;
+    if (m_runsKnown && isAnswering(now) && m_hasOwnerContact && sinceContact < m_timing.lease) {
+        renewal.leaseEnd = workerClock(now) + m_timing.lease - sinceContact;
+        m_leaseSentAt = now;
+    }
+    const bool waits = m_runsKnown && !m_pollImmediately && m_ends.empty() && m_renewalEpoch >= m_epoch && (isFenced() || !m_registered);
+    m_pollImmediately = false;
+    renewal.wait = waits ? m_timing.pollWait : Duration();
+    renewal.sentAt = now;
+    m_renewalInFlight = true;
+    m_renewalSentAt = now;
+    m_nextRenewal = now + m_timing.pollWait + m_timing.answerMargin;
+    m_actions.emplace_back(renewal);
+}
+
+} // namespace banyanlock
