--- a/src/core/JsonInput.h
+++ b/src/core/JsonInput.h
@@ -8,6 +8,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace banyanlock
 {
@@ -75,6 +76,23 @@
     return *number;
 }
 
+/// Reads a list of whole numbers.
+/// @param json Value to read.
+/// @param name Name of the value, for the error.
+/// @return The numbers.
+/// @throws nlohmann::json::exception The value is not a list of whole numbers that the type can hold.
+template <std::integral Number> std::vector<Number> readWholeList(const nlohmann::json &json, const char *name)
+{
+    if (!json.is_array()) {
+        refuseJson(name, "must be a list");
+    }
+    std::vector<Number> numbers;
+    for (const nlohmann::json &number : json) {
+        numbers.push_back(readWhole<Number>(number, name));
+    }
+    return numbers;
+}
+
 /// Reads a required whole number of an object.
 /// @param json Object that has the field.
 /// @param field Name of the field.
--- a/src/graph/GraphCodec.cpp
+++ b/src/graph/GraphCodec.cpp
@@ -46,18 +46,6 @@
     return json;
 }
 
-std::vector<std::uint32_t> stepNumbersOf(const Json &json)
-{
-    std::vector<std::uint32_t> numbers;
-    if (!json.is_array()) {
-        refuseJson("a", "must be a list");
-    }
-    for (const Json &number : json) {
-        numbers.push_back(readWhole<std::uint32_t>(number, "a"));
-    }
-    return numbers;
-}
-
 StepSpec stepFromJson(const Json &json)
 {
     StepSpec step;
@@ -67,7 +55,7 @@
                    readWhole<std::int64_t>(demand.at(2), "d")};
     step.estimate = Duration(readWhole<std::int64_t>(json.at("e"), "e"));
     if (const auto after = json.find("a"); after != json.end()) {
-        step.after = stepNumbersOf(*after);
+        step.after = readWholeList<std::uint32_t>(*after, "a");
     }
     const auto flags = json.contains("f") ? readWhole<std::uint32_t>(json["f"], "f") : 0;
     step.gang = (flags & 1U) != 0;
