Give a failed renewal one reason, and derive the last fencing token of a registration

RenewalAnswer had three flags of which at most one could hold, set by position in the tests; they are an enum now. The limit of the tokens was a multiple of the tokens of a registration in every case, so it follows from the token. Behaviour is the same.

--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -20,8 +20,9 @@
         return;
     }
     m_renewalInFlight = false;
-    if (answer.refused != m_connectionRefused) {
-        m_connectionRefused = answer.refused;
+    const bool refused = answer.failedBy(RenewalFailure::ConnectionRefused);
+    if (refused != m_connectionRefused) {
+        m_connectionRefused = refused;
         Log::info(m_connectionRefused ? "worker_refuses" : "worker_listens", {{"worker", m_worker->incarnation.worker}});
         markChanged();
     }
@@ -46,14 +47,15 @@
 
 void WorkerSupervisor::onListsLost(const RenewWorker &action, const RenewalAnswer &answer, bool otherIncarnation, TimePoint now)
 {
-    const bool wasUncertain
-        = std::exchange(m_incarnationUncertain, m_incarnationUncertain || answer.refused || answer.disconnected || otherIncarnation);
-    if (action.fence == m_fence && !answer.refused && !answer.rejected) {
+    const bool refused = answer.failedBy(RenewalFailure::ConnectionRefused);
+    const bool disconnected = answer.failedBy(RenewalFailure::Disconnected);
+    const bool wasUncertain = std::exchange(m_incarnationUncertain, m_incarnationUncertain || refused || disconnected || otherIncarnation);
+    if (action.fence == m_fence && !refused && !answer.failedBy(RenewalFailure::Busy)) {
         raiseFence(); // a worker that has restarted may still execute what was sent to its earlier incarnation
     }
     m_pollImmediately
         = m_pollImmediately || (m_runsKnown && action.wait == Duration::zero()); // the state that this request was to show is still unknown
-    m_nextRenewal = answer.disconnected && !wasUncertain ? now : now + m_timing.retryInterval;
+    m_nextRenewal = disconnected && !wasUncertain ? now : now + m_timing.retryInterval;
 }
 
 void WorkerSupervisor::recordProof(const RenewWorker &action)
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -64,7 +64,6 @@
 {
     m_registered = true;
     m_fence = std::max(m_fence + 1, rowVersion * fencesPerRegistration);
-    m_fenceLimit = (rowVersion + 1) * fencesPerRegistration;
     m_firstFence = m_fence;
     m_pollImmediately = m_renewalInFlight;
     m_nextRenewal = TimePoint();
@@ -78,7 +77,7 @@
     if (m_fence == 0) {
         return;
     }
-    if (m_fence + 1 < m_fenceLimit) {
+    if ((m_fence + 1) % fencesPerRegistration != 0) {
         ++m_fence;
     } else {
         m_registered = false; // all tokens of the registration are used
@@ -153,7 +152,6 @@
     }
     if (!m_registered && m_worker && request.acknowledgedIncarnation == m_worker->incarnation && request.workerFence > m_fence) {
         m_fence = request.workerFence; // suffices to renew the lease of what an earlier process has started
-        m_fenceLimit = (m_fence / fencesPerRegistration + 1) * fencesPerRegistration;
         m_nextRenewal = now;
     }
     const bool valid = now <= request.validUntil;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -81,12 +81,25 @@
     std::vector<RunEnd> ends; ///< Ends that are not acknowledged yet.
 };
 
+/// Why a renewal got no lists.
+enum class RenewalFailure : std::uint8_t {
+    Unanswered, ///< No usable answer in time.
+    ConnectionRefused, ///< The worker's address refused the connection.
+    Disconnected, ///< The connection broke before the answer.
+    Busy, ///< The worker was too busy and did nothing.
+};
+
 /// Answer to a renewal.
 struct RenewalAnswer {
     std::optional<WorkerLists> lists; ///< The lists; none if there was no valid answer.
-    bool refused = false; ///< The worker's address refused the connection.
-    bool disconnected = false; ///< The connection broke before the answer.
-    bool rejected = false; ///< The worker was too busy and did nothing.
+    RenewalFailure failure = RenewalFailure::Unanswered; ///< Why there are no lists.
+
+    /// @param reason Reason of a failure.
+    /// @return Whether there are no lists for that reason.
+    bool failedBy(RenewalFailure reason) const
+    {
+        return !lists && failure == reason;
+    }
 };
 
 /// Supervises the worker on the agent's instance for the owner of the pool.
@@ -225,7 +238,6 @@
     bool m_stopping = false;
     bool m_registered = false; // and has fencing tokens left
     std::uint64_t m_fence = 0; // token of the next order; zero if none may be sent
-    std::uint64_t m_fenceLimit = 0; // first token of the next registration
     std::uint64_t m_firstFence = 0; // lowest token of this process for the worker's current incarnation
     std::uint64_t m_provenFence = 0; // highest token that the worker's current incarnation has answered with lists
 
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -151,7 +151,7 @@
     if (agent.crashed) {
         agent.loop->after(fromMilliseconds(1), [&agent, generation, action, this] {
             if (generation == agent.generation) {
-                agent.supervisor->onLists(action, {std::nullopt, true, false}, m_now);
+                agent.supervisor->onLists(action, {std::nullopt, RenewalFailure::ConnectionRefused}, m_now);
             }
         });
         return;
@@ -167,10 +167,11 @@
         });
         return;
     }
-    const bool disconnected = received.incarnation != agent.worker->announcement().incarnation;
-    agent.loop->after(answerDelay(), [&agent, generation, action, lists, disconnected, this] {
+    const bool restarted = received.incarnation != agent.worker->announcement().incarnation;
+    const RenewalFailure failure = restarted ? RenewalFailure::Disconnected : RenewalFailure::Unanswered;
+    agent.loop->after(answerDelay(), [&agent, generation, action, lists, failure, this] {
         if (generation == agent.generation) {
-            agent.supervisor->onLists(action, {lists, false, disconnected}, m_now);
+            agent.supervisor->onLists(action, {lists, failure}, m_now);
         }
     });
 }
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -92,7 +92,7 @@
                 WorkerLists lists;
                 lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
                 lists.clock = now - bornAt;
-                supervisor.onLists(*renewal, {lists, false}, now);
+                supervisor.onLists(*renewal, {lists, {}}, now);
             } else if (const StopTask *stop = std::get_if<StopTask>(&action)) {
                 supervisor.onStopped(*stop, OrderOutcome::Unknown, now);
             } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
@@ -188,11 +188,11 @@
     RenewWorker later = *earlier;
     later.sentAt = now + fromMilliseconds(10);
     now += fromMilliseconds(12);
-    supervisor.onLists(later, {newer, false}, now);
+    supervisor.onLists(later, {newer, {}}, now);
     WorkerLists older;
     older.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
     older.clock = fromMilliseconds(5);
-    supervisor.onLists(*earlier, {older, false}, now + fromMilliseconds(1));
+    supervisor.onLists(*earlier, {older, {}}, now + fromMilliseconds(1));
     BOOST_TEST(isRunReported());
 }
 
@@ -213,12 +213,12 @@
     newer.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
     newer.clock = fromMilliseconds(20);
     newer.runs = {{firstRun, false, {}}};
-    supervisor.onLists(*poll, {newer, false}, now + fromMilliseconds(2));
+    supervisor.onLists(*poll, {newer, {}}, now + fromMilliseconds(2));
     RenewWorker other = *poll;
     other.sentAt = now + fromMilliseconds(1);
     WorkerLists older = newer;
     older.runs.clear();
-    supervisor.onLists(other, {older, false}, now + fromMilliseconds(3));
+    supervisor.onLists(other, {older, {}}, now + fromMilliseconds(3));
     BOOST_TEST(isRunReported());
 }
 
@@ -236,13 +236,13 @@
     WorkerLists lists;
     lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
     lists.clock = fromMilliseconds(20);
-    supervisor.onLists(*poll, {lists, false}, now + fromMilliseconds(2));
+    supervisor.onLists(*poll, {lists, {}}, now + fromMilliseconds(2));
     RenewWorker ofNewOwner = *poll;
     ofNewOwner.epoch = 2;
     ofNewOwner.sentAt = now + fromMilliseconds(1);
     const RunName ofEarlierOwner{{"job", 0, 0, 9}, 1};
     lists.runs = {{ofEarlierOwner, false, {}}};
-    supervisor.onLists(ofNewOwner, {lists, false}, now + fromMilliseconds(3));
+    supervisor.onLists(ofNewOwner, {lists, {}}, now + fromMilliseconds(3));
     const WorkerStatus status = supervisor.status(now, 0);
     const bool reported = std::ranges::count(status.runs, ofEarlierOwner, &RunReport::run) != 0;
     BOOST_TEST((reported || status.runsKnownEpoch < 2));
@@ -281,7 +281,7 @@
     WorkerLists lists;
     lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
     lists.clock = lastLists - now;
-    supervisor.onLists(*poll, {lists, false}, lastLists); // later renewals carry no lease, since the owner is out of contact
+    supervisor.onLists(*poll, {lists, {}}, lastLists); // later renewals carry no lease, since the owner is out of contact
     now = lastLists + timing.silenceTimeout - fromMilliseconds(100);
     SuperviseRequest request;
     request.epoch = 1;
@@ -319,7 +319,7 @@
         lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
         lists.clock = clock;
         now += fromMilliseconds(1);
-        supervisor.onLists(poll, {lists, false}, now);
+        supervisor.onLists(poll, {lists, {}}, now);
     };
     answer(starts.front().startBy - fromMilliseconds(500));
     BOOST_TEST(isRunReported());
@@ -340,7 +340,7 @@
     WorkerLists lists;
     lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
     lists.clock = fromMilliseconds(3000);
-    supervisor.onLists(poll, {lists, false}, now);
+    supervisor.onLists(poll, {lists, {}}, now);
     supervisor.step(now);
     supervisor.takeActions();
     now += fromMilliseconds(100);
@@ -439,7 +439,7 @@
     WorkerLists lists;
     lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
     lists.clock = now - bornAt;
-    supervisor.onLists(poll, {lists, false}, now + fromMilliseconds(1));
+    supervisor.onLists(poll, {lists, {}}, now + fromMilliseconds(1));
     BOOST_TEST(!isRunReported());
     BOOST_TEST(supervisor.status(now, 0).number > number);
 }
