--- a/tests/pool/IncarnationTest.cpp
+++ b/tests/pool/IncarnationTest.cpp
@@ -1,4 +1,5 @@
 #include "PoolWorld.h"
+#include "WorldChecks.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -28,10 +29,7 @@
                 world.restartAgent(worker);
             }
             world.run(fromMilliseconds(40000));
-            for (const std::string &violation : world.violations()) {
-                BOOST_ERROR(violation);
-            }
-            BOOST_TEST((world.stateOf("job1") == GraphState::Completed));
+            checkCompleted(world, "job1");
         }
     }
 }
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -1,4 +1,5 @@
 #include "PoolWorld.h"
+#include "WorldChecks.h"
 
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
@@ -11,19 +12,6 @@
 
 constexpr Duration startupTime = fromMilliseconds(3000);
 
-void checkNoViolations(const PoolWorld &world)
-{
-    for (const std::string &violation : world.violations()) {
-        BOOST_ERROR(violation);
-    }
-}
-
-void checkCompleted(PoolWorld &world, const std::string &job)
-{
-    BOOST_TEST(static_cast<int>(world.stateOf(job)) == static_cast<int>(GraphState::Completed));
-    checkNoViolations(world);
-}
-
 /// @return Options of the simulation of a seed with lost messages and late orders.
 WorldOptions networkFaults(std::uint64_t seed)
 {
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -1,4 +1,5 @@
 #include "PoolWorld.h"
+#include "WorldChecks.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -7,13 +8,6 @@
 namespace
 {
 
-void checkNoViolations(const PoolWorld &world)
-{
-    for (const std::string &violation : world.violations()) {
-        BOOST_ERROR(violation);
-    }
-}
-
 constexpr Duration startupTime = fromMilliseconds(3000);
 
 } // namespace
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -83,6 +83,39 @@
         return stops;
     }
 
+    /// Orders another start, without renewing.
+    /// @return Its start deadline.
+    TimePoint orderSecondStart()
+    {
+        SuperviseRequest request;
+        request.epoch = 1;
+        request.validUntil = now + fromMilliseconds(1000);
+        request.batch = 2;
+        TaskOrder order;
+        order.run = {{"job", 0, 0, 1}, 1};
+        order.incarnation = workerIncarnation;
+        order.startBy = now + fromMilliseconds(1500);
+        request.orders = {order};
+        supervisor.onSupervise(request, now);
+        return order.startBy;
+    }
+
+    /// Confirms the starts that are due now.
+    /// @return The renewal that is due now, if any.
+    std::optional<RenewWorker> takePollAndConfirmStarts()
+    {
+        supervisor.step(now);
+        std::optional<RenewWorker> poll;
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+                poll = *renewal;
+            } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
+                supervisor.onStarted(*start, OrderOutcome::Done, "", now);
+            }
+        }
+        return poll;
+    }
+
     /// Answers each renewal with empty lists; starts and stops get no answer.
     void answerWithEmptyLists()
     {
@@ -171,15 +204,7 @@
 BOOST_AUTO_TEST_CASE(outdatedListsDoNotHideRun)
 {
     // The worker answers the fixture's pending renewal before it executes the start, but this answer arrives after newer lists.
-    supervisor.step(now);
-    std::optional<RenewWorker> earlier;
-    for (const SupervisorAction &action : supervisor.takeActions()) {
-        if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
-            earlier = *renewal;
-        } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
-            supervisor.onStarted(*start, OrderOutcome::Done, "", now);
-        }
-    }
+    const std::optional<RenewWorker> earlier = takePollAndConfirmStarts();
     BOOST_REQUIRE(earlier.has_value());
     WorkerLists newer;
     newer.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
@@ -199,15 +224,7 @@
 BOOST_AUTO_TEST_CASE(listsOfTheSameMillisecondDoNotHideRun)
 {
     // The worker answers a poll before it executes the start, but within the millisecond of newer lists, which arrive first.
-    supervisor.step(now);
-    std::optional<RenewWorker> poll;
-    for (const SupervisorAction &action : supervisor.takeActions()) {
-        if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
-            poll = *renewal;
-        } else if (const StartTask *start = std::get_if<StartTask>(&action)) {
-            supervisor.onStarted(*start, OrderOutcome::Done, "", now);
-        }
-    }
+    const std::optional<RenewWorker> poll = takePollAndConfirmStarts();
     BOOST_REQUIRE(poll.has_value());
     WorkerLists newer;
     newer.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
@@ -251,17 +268,8 @@
 BOOST_AUTO_TEST_CASE(startIsRefusedWhileListsAreOutdated)
 {
     now += SupervisorTiming().silenceTimeout + fromMilliseconds(1);
-    SuperviseRequest request;
-    request.epoch = 1;
-    request.validUntil = now + fromMilliseconds(1000);
-    request.batch = 2;
-    TaskOrder order;
-    order.run = {{"job", 0, 0, 1}, 1};
-    order.incarnation = workerIncarnation;
-    order.startBy = now + fromMilliseconds(1500);
-    request.orders = {order};
     takeStarts();
-    supervisor.onSupervise(request, now);
+    orderSecondStart();
     BOOST_TEST(takeStarts().empty());
 }
 
@@ -283,18 +291,9 @@
     lists.clock = lastLists - now;
     supervisor.onLists(*poll, {lists, {}}, lastLists); // later renewals carry no lease, since the owner is out of contact
     now = lastLists + timing.silenceTimeout - fromMilliseconds(100);
-    SuperviseRequest request;
-    request.epoch = 1;
-    request.validUntil = now + fromMilliseconds(1000);
-    request.batch = 2;
-    TaskOrder order;
-    order.run = {{"job", 0, 0, 1}, 1};
-    order.incarnation = workerIncarnation;
-    order.startBy = now + fromMilliseconds(1500);
-    request.orders = {order};
-    supervisor.onSupervise(request, now);
+    const TimePoint secondStartBy = orderSecondStart();
     BOOST_REQUIRE_EQUAL(takeStarts().size(), 1U);
-    while (now < order.startBy) {
+    while (now < secondStartBy) {
         supervisor.step(now);
         supervisor.takeActions();
         BOOST_TEST(!supervisor.status(now, 0).leaseExpired);
