Index the planner's workers by service, rack and free accelerators

Cause: each plan scanned all workers for each task of each waiting group, once for each rack and again when stopping others, copied all workers, and compared strings.

Change: PlanCapacity ranks the workers of a service by free accelerators and processors, so that the tightest fit is found without a scan, and skips racks and services without enough free accelerators. Workers are rated for stops once and again only after their resources have changed; the running units are indexed only if a unit needs them. A demand that fits nowhere refuses larger ones.

--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -5,7 +5,9 @@
 #include <algorithm>
 #include <limits>
 #include <numeric>
+#include <optional>
 #include <tuple>
+#include <utility>
 
 namespace banyanlock
 {
@@ -23,14 +25,6 @@
         + processorWeight * static_cast<double>(free.processors - need.processors);
 }
 
-Resources clampToZero(Resources resources)
-{
-    resources.processors = std::max<std::int64_t>(resources.processors, 0);
-    resources.memory = std::max<std::int64_t>(resources.memory, 0);
-    resources.accelerators = std::max<std::int64_t>(resources.accelerators, 0);
-    return resources;
-}
-
 std::vector<std::size_t> planningOrder(std::span<const PlanGroup> groups)
 {
     std::vector<std::size_t> order(groups.size());
@@ -49,6 +43,114 @@
 
 } // namespace
 
+/// Places one unit on workers whose running units may be stopped for it. Each worker is rated once and again only after its resources
+/// have changed.
+class PoolPlanner::StopSearch
+{
+public:
+    StopSearch(const PlannerPolicy &policy, const GroupState &group, const PlanState &state)
+        : m_policy(policy)
+        , m_group(group)
+        , m_state(state)
+        , m_free(state.capacity.size())
+        , m_stopped(state.stopped)
+        , m_scores(state.capacity.size(), noFit)
+    {
+    }
+
+    /// Searches one set of workers; searches do not affect each other.
+    /// @param workers Indexes of the workers that the unit may use.
+    /// @param placement Receives the workers of the unit and the victims to stop.
+    /// @return Whether the unit can be placed.
+    bool findAmong(std::span<const std::uint32_t> workers, Placement &placement)
+    {
+        for (const std::uint32_t worker : workers) {
+            m_free[worker] = m_state.capacity.free(worker) + m_state.capacity.stopping(worker);
+            m_scores[worker] = rate(worker, placement.workers, nullptr);
+        }
+        bool found = true;
+        const std::uint32_t members = membersOf(m_group.group.spec());
+        for (std::uint32_t member = 0; member < members && found; ++member) {
+            found = placeMember(workers, placement);
+        }
+        for (const std::size_t victim : placement.stops) {
+            m_stopped[victim] = false; // of this search only
+        }
+        return found;
+    }
+
+private:
+    bool placeMember(std::span<const std::uint32_t> workers, Placement &placement)
+    {
+        const auto best = std::ranges::min_element(workers, {}, [&](std::uint32_t worker) {
+            return m_scores[worker];
+        });
+        if (best == workers.end() || m_scores[*best] == noFit) {
+            return false;
+        }
+        std::vector<std::size_t> stops;
+        placement.cost += rate(*best, placement.workers, &stops);
+        placement.workers.push_back(*best);
+        m_free[*best] -= m_group.group.spec().demand;
+        std::vector<std::uint32_t> changed{*best};
+        for (const std::size_t victim : stops) {
+            m_stopped[victim] = true;
+            placement.stops.push_back(victim);
+            for (const std::uint32_t worker : m_state.victims[victim].workers) {
+                m_free[worker] += m_state.victims[victim].demand;
+                changed.push_back(worker);
+            }
+        }
+        for (const std::uint32_t worker : changed) {
+            m_scores[worker] = rate(worker, placement.workers, nullptr);
+        }
+        return true;
+    }
+
+    /// @return Cost of one task on the worker with the least expensive stops, which are optionally listed; `noFit` if it can't run there.
+    double rate(std::uint32_t worker, std::span<const std::uint32_t> chosen, std::vector<std::size_t> *stops) const
+    {
+        const Resources &demand = m_group.group.spec().demand;
+        const PlanWorker &candidate = m_state.capacity.worker(worker);
+        if (!isEligible(m_group.group, candidate) || exceedsSpread(m_group, chosen, worker)) {
+            return noFit;
+        }
+        Resources left = m_free[worker];
+        double cost = 0.0;
+        for (const std::size_t victim : m_state.victimsOn[worker]) {
+            if (left.fits(demand)) {
+                break;
+            }
+            const PlanVictim &running = m_state.victims[victim];
+            if (m_stopped[victim] || !mayStop(m_group.group, running)) {
+                continue;
+            }
+            for (const std::uint32_t place : running.workers) {
+                if (place == worker) {
+                    left += running.demand;
+                }
+            }
+            cost += running.lostWork;
+            if (stops != nullptr) {
+                stops->push_back(victim);
+            }
+        }
+        if (!left.fits(demand)) {
+            return noFit;
+        }
+        // Among workers with the same cost, the tightest fit wins.
+        constexpr double tieWeight = 1e-6;
+        return cost + (candidate.suspect ? m_policy.suspectWorkerCost : 0.0) + tieWeight * leftoverScore(left, demand);
+    }
+
+    const PlannerPolicy &m_policy;
+    const GroupState &m_group;
+    const PlanState &m_state;
+    std::vector<Resources> m_free; // by worker, including what becomes free soon
+    std::vector<bool> m_stopped; // by victim
+    std::vector<double> m_scores; // by worker
+};
+
 bool PoolPlanner::isEligible(const PlanGroup &group, const PlanWorker &worker)
 {
     const StepSpec &step = group.spec();
@@ -56,25 +158,35 @@
         && (step.requiredLabel.empty() || std::ranges::find(worker.labels, step.requiredLabel) != worker.labels.end());
 }
 
-bool PoolPlanner::exceedsSpread(const PlanGroup &group, std::span<const std::uint32_t> chosen, std::uint32_t worker)
+bool PoolPlanner::exceedsSpread(const GroupState &state, std::span<const std::uint32_t> chosen, std::uint32_t worker)
 {
-    const std::uint32_t limit = group.spec().spreadLimit;
+    const std::uint32_t limit = state.group.spec().spreadLimit;
     if (limit == 0) {
         return false;
     }
-    const std::uint32_t before = worker < group.onWorker.size() ? group.onWorker[worker] : 0;
+    const std::uint32_t before = worker < state.onWorker.size() ? state.onWorker[worker] : 0;
     return before + static_cast<std::uint32_t>(std::ranges::count(chosen, worker)) >= limit;
 }
 
-std::vector<std::string> PoolPlanner::racksOf(const PlanState &state)
+bool PoolPlanner::mayStop(const PlanGroup &group, const PlanVictim &victim)
 {
-    std::vector<std::string> racks;
-    for (const PlanWorker &worker : state.workers) {
-        if (worker.usable && std::ranges::find(racks, worker.rack) == racks.end()) {
-            racks.push_back(worker.rack);
-        }
+    if (victim.priority > group.job->terms.priority) {
+        return true;
     }
-    return racks;
+    return group.guaranteed && !victim.guaranteed;
+}
+
+bool PoolPlanner::isPlain(const StepSpec &step)
+{
+    return step.requiredLabel.empty() && step.spreadLimit == 0;
+}
+
+bool PoolPlanner::isRefused(const PlanGroup &group, const PlanState &state)
+{
+    const auto refused = state.refused.find(group.job->terms.service);
+    return refused != state.refused.end() && std::ranges::any_of(refused->second, [&](const Resources &smaller) {
+               return group.spec().demand.fits(smaller);
+           });
 }
 
 bool PoolPlanner::mayBeRemote(const PlanGroup &group, const PlanState &state) const
@@ -84,8 +196,8 @@
         return true;
     }
     if (!step.homeRack.empty()) {
-        const bool homeExists = std::ranges::any_of(state.workers, [&](const PlanWorker &worker) {
-            return worker.rack == step.homeRack && isEligible(group, worker);
+        const bool homeExists = std::ranges::any_of(state.capacity.workersOfRack(step.homeRack), [&](std::uint32_t worker) {
+            return isEligible(group, state.capacity.worker(worker));
         });
         if (!homeExists) {
             return true;
@@ -96,55 +208,83 @@
     return static_cast<double>(group.waited.count()) > loss / 2;
 }
 
-bool PoolPlanner::findInRack(const PlanGroup &group, const PlanState &state, const std::string &rack, Placement &placement) const
+bool PoolPlanner::findInRack(const GroupState &group, const PlanState &state, std::span<const std::uint32_t> rack, Placement &placement)
 {
-    const StepSpec &step = group.spec();
+    const StepSpec &step = group.group.spec();
     std::vector<Resources> free;
-    free.reserve(state.workers.size());
-    for (const PlanWorker &worker : state.workers) {
-        free.push_back(worker.free);
+    free.reserve(rack.size());
+    for (const std::uint32_t worker : rack) {
+        free.push_back(state.capacity.free(worker));
     }
     for (std::uint32_t member = 0; member < membersOf(step); ++member) {
         double best = noFit;
-        std::uint32_t bestWorker = 0;
-        for (std::uint32_t worker = 0; worker < state.workers.size(); ++worker) {
-            const PlanWorker &candidate = state.workers[worker];
-            if ((!rack.empty() && candidate.rack != rack) || !isEligible(group, candidate) || !free[worker].fits(step.demand)
-                || exceedsSpread(group, placement.workers, worker)) {
+        std::size_t bestPosition = 0;
+        for (std::size_t position = 0; position < rack.size(); ++position) {
+            const PlanWorker &candidate = state.capacity.worker(rack[position]);
+            if (!free[position].fits(step.demand) || !isEligible(group.group, candidate)
+                || exceedsSpread(group, placement.workers, rack[position])) {
                 continue;
             }
             constexpr double suspectPenalty = 1e6; // exceeds any leftover score
-            const double score = leftoverScore(free[worker], step.demand) + (candidate.suspect ? suspectPenalty : 0.0);
+            const double score = leftoverScore(free[position], step.demand) + (candidate.suspect ? suspectPenalty : 0.0);
             if (score < best) {
                 best = score;
-                bestWorker = worker;
+                bestPosition = position;
             }
         }
         if (best == noFit) {
             return false;
         }
-        free[bestWorker] -= step.demand;
-        placement.workers.push_back(bestWorker);
+        free[bestPosition] -= step.demand;
+        placement.workers.push_back(rack[bestPosition]);
         placement.cost += best;
     }
     return true;
 }
 
-bool PoolPlanner::find(const PlanGroup &group, const PlanState &state, Placement &placement) const
+bool PoolPlanner::findAnywhere(const GroupState &group, PlanState &state, Placement &placement)
 {
-    const StepSpec &step = group.spec();
+    const StepSpec &step = group.group.spec();
+    const std::string &service = group.group.job->terms.service;
+    const std::uint32_t members = membersOf(step);
+    if (isRefused(group.group, state) || !state.capacity.serviceMayHold(service, step.demand, members)) {
+        return false;
+    }
+    for (std::uint32_t member = 0; member < members; ++member) {
+        const std::optional<std::uint32_t> best = state.capacity.findBestFit(service, step.demand, [&](std::uint32_t worker) {
+            return isEligible(group.group, state.capacity.worker(worker)) && !exceedsSpread(group, placement.workers, worker);
+        });
+        if (!best) {
+            break;
+        }
+        state.capacity.take(*best, step.demand);
+        placement.workers.push_back(*best);
+    }
+    for (const std::uint32_t worker : placement.workers) {
+        state.capacity.giveBack(worker, step.demand);
+    }
+    if (placement.workers.empty() && isPlain(step)) {
+        state.refused[service].push_back(step.demand);
+    }
+    return placement.workers.size() == members;
+}
+
+bool PoolPlanner::find(const GroupState &group, PlanState &state, Placement &placement) const
+{
+    const StepSpec &step = group.group.spec();
     if (!step.homeRack.empty()) {
         Placement home;
-        if (findInRack(group, state, step.homeRack, home)) {
-            placement = home;
+        if (findInRack(group, state, state.capacity.workersOfRack(step.homeRack), home)) {
+            placement = std::move(home);
             return true;
         }
     } else if (step.gang && step.preferOneRack) {
         bool found = false;
-        for (const std::string &rack : racksOf(state)) {
+        for (std::size_t rack = 0; rack < state.capacity.racks().size(); ++rack) {
             Placement candidate;
-            if (findInRack(group, state, rack, candidate) && (!found || candidate.cost < placement.cost)) {
-                placement = candidate;
+            if (state.capacity.rackMayHold(rack, step.demand, membersOf(step))
+                && findInRack(group, state, state.capacity.racks()[rack], candidate) && (!found || candidate.cost < placement.cost)) {
+                placement = std::move(candidate);
                 found = true;
             }
         }
@@ -153,109 +293,32 @@
         }
     }
     Placement anywhere;
-    if (mayBeRemote(group, state) && findInRack(group, state, {}, anywhere)) {
-        placement = anywhere;
+    if (mayBeRemote(group.group, state) && findAnywhere(group, state, anywhere)) {
+        placement = std::move(anywhere);
         return true;
     }
     return false;
 }
 
-bool PoolPlanner::mayStop(const PlanGroup &group, const PlanVictim &victim)
+bool PoolPlanner::findByStopping(const GroupState &group, const PlanState &state, Placement &placement) const
 {
-    if (victim.priority > group.job->terms.priority) {
-        return true;
-    }
-    return group.guaranteed && !victim.guaranteed;
-}
-
-bool PoolPlanner::findInRackByStopping(const PlanGroup &group, const PlanState &state, const std::string &rack, Placement &placement) const
-{
-    const StepSpec &step = group.spec();
-    std::vector<Resources> free;
-    free.reserve(state.workers.size());
-    for (const PlanWorker &worker : state.workers) {
-        free.push_back(worker.free + worker.stopping);
-    }
-    std::vector<bool> stopped = state.stopped;
-    for (std::uint32_t member = 0; member < membersOf(step); ++member) {
-        double best = noFit;
-        std::uint32_t bestWorker = 0;
-        std::vector<std::size_t> bestStops;
-        for (std::uint32_t worker = 0; worker < state.workers.size(); ++worker) {
-            const PlanWorker &candidate = state.workers[worker];
-            if ((!rack.empty() && candidate.rack != rack) || !isEligible(group, candidate)
-                || exceedsSpread(group, placement.workers, worker)) {
-                continue;
-            }
-            Resources left = free[worker];
-            double cost = 0.0;
-            std::vector<std::size_t> stops;
-            for (const std::size_t victim : state.victimsOn[worker]) {
-                if (left.fits(step.demand)) {
-                    break;
-                }
-                const PlanVictim &running = state.victims[victim];
-                if (stopped[victim] || std::ranges::find(stops, victim) != stops.end() || !mayStop(group, running)) {
-                    continue;
-                }
-                for (const std::uint32_t place : running.workers) {
-                    if (place == worker) {
-                        left += running.demand;
-                    }
-                }
-                stops.push_back(victim);
-                cost += running.lostWork;
-            }
-            if (!left.fits(step.demand)) {
-                continue;
-            }
-            // Among workers with the same cost, the tightest fit wins.
-            constexpr double tieWeight = 1e-6;
-            const double score
-                = cost + (candidate.suspect ? m_policy.suspectWorkerCost : 0.0) + tieWeight * leftoverScore(left, step.demand);
-            if (score < best) {
-                best = score;
-                bestWorker = worker;
-                bestStops = stops;
-            }
-        }
-        if (best == noFit) {
-            return false;
-        }
-        for (const std::size_t victim : bestStops) {
-            stopped[victim] = true;
-            placement.stops.push_back(victim);
-            for (const std::uint32_t place : state.victims[victim].workers) {
-                free[place] += state.victims[victim].demand;
-            }
-        }
-        free[bestWorker] -= step.demand;
-        placement.workers.push_back(bestWorker);
-        placement.cost += best;
-    }
-    return true;
-}
-
-bool PoolPlanner::findByStopping(const PlanGroup &group, const PlanState &state, Placement &placement) const
-{
-    const StepSpec &step = group.spec();
-    const bool oneRack = step.gang && step.preferOneRack;
+    const StepSpec &step = group.group.spec();
+    StopSearch search(m_policy, group, state);
     bool found = false;
     if (!step.homeRack.empty()) {
-        found = findInRackByStopping(group, state, step.homeRack, placement);
-    } else if (oneRack) {
-        for (const std::string &rack : racksOf(state)) {
+        found = search.findAmong(state.capacity.workersOfRack(step.homeRack), placement);
+    } else if (step.gang && step.preferOneRack) {
+        for (const std::vector<std::uint32_t> &rack : state.capacity.racks()) {
             Placement candidate;
-            if (findInRackByStopping(group, state, rack, candidate) && (!found || candidate.cost < placement.cost)) {
-                placement = candidate;
+            if (search.findAmong(rack, candidate) && (!found || candidate.cost < placement.cost)) {
+                placement = std::move(candidate);
                 found = true;
             }
         }
     }
     if (!found) {
-        Placement anywhere;
-        found = findInRackByStopping(group, state, {}, anywhere);
-        placement = anywhere;
+        placement = {};
+        found = search.findAmong(state.capacity.usableWorkers(), placement);
     }
     if (!found) {
         return false;
@@ -267,7 +330,7 @@
     constexpr double microsecondsPerSecond = 1e6;
     const double ownWork = step.demand.coreEquivalents() * static_cast<double>(membersOf(step)) * static_cast<double>(step.estimate.count())
         / microsecondsPerSecond;
-    return group.guaranteed || lostWork <= ownWork * m_policy.maxLostWorkRatio;
+    return group.group.guaranteed || lostWork <= ownWork * m_policy.maxLostWorkRatio;
 }
 
 bool PoolPlanner::canWait(const PlanGroup &group) const
@@ -275,39 +338,68 @@
     return group.waited < m_policy.maxPreemptionWait && group.slack > m_policy.minWaitSlack;
 }
 
-PoolPlan PoolPlanner::plan(std::span<const PlanGroup> groups, std::vector<PlanWorker> workers, std::span<const PlanVictim> victims) const
+void PoolPlanner::indexVictims(PlanState &state)
 {
-    PoolPlan plan;
-    PlanState state;
-    state.workers = std::move(workers);
-    state.victims = victims;
-    state.stopped.assign(victims.size(), false);
-    state.victimsOn.resize(state.workers.size());
-    for (std::size_t victim = 0; victim < victims.size(); ++victim) {
-        for (const std::uint32_t worker : victims[victim].workers) {
-            BANYANLOCK_ASSERT(worker < state.workers.size());
+    if (!state.victimsOn.empty()) {
+        return;
+    }
+    state.victimsOn.resize(state.capacity.size());
+    for (std::size_t victim = 0; victim < state.victims.size(); ++victim) {
+        for (const std::uint32_t worker : state.victims[victim].workers) {
+            BANYANLOCK_ASSERT(worker < state.victimsOn.size());
             if (state.victimsOn[worker].empty() || state.victimsOn[worker].back() != victim) {
                 state.victimsOn[worker].push_back(victim);
             }
         }
     }
     for (std::vector<std::size_t> &victimsHere : state.victimsOn) {
-        std::ranges::stable_sort(victimsHere, [&](std::size_t left, std::size_t right) {
-            return std::tuple(victims[left].guaranteed, victims[left].lostWork)
-                < std::tuple(victims[right].guaranteed, victims[right].lostWork);
+        std::ranges::stable_sort(victimsHere, {}, [&](std::size_t victim) {
+            return std::tuple(state.victims[victim].guaranteed, state.victims[victim].lostWork);
         });
     }
+}
+
+void PoolPlanner::take(GroupState &group, PlanState &state, const Placement &placement)
+{
+    for (const std::uint32_t worker : placement.workers) {
+        state.capacity.take(worker, group.group.spec().demand);
+        if (worker < group.onWorker.size()) {
+            ++group.onWorker[worker];
+        }
+    }
+}
+
+void PoolPlanner::reserve(const PlanGroup &group, PlanState &state, const Placement &placement)
+{
+    for (const std::size_t victim : placement.stops) {
+        state.stopped[victim] = true;
+        for (const std::uint32_t worker : state.victims[victim].workers) {
+            state.capacity.addStopping(worker, state.victims[victim].demand);
+        }
+    }
+    // Resources are reserved for the unit until the stopped tasks have ended.
+    for (const std::uint32_t worker : placement.workers) {
+        state.capacity.reserve(worker, group.spec().demand);
+    }
+    state.refused.clear(); // a reservation can end a shortage of single resources
+}
+
+PoolPlan PoolPlanner::plan(std::span<const PlanGroup> groups, std::span<const PlanWorker> workers,
+                           std::span<const PlanVictim> victims) const
+{
+    PoolPlan plan;
+    PlanState state{PlanCapacity(workers), victims, std::vector<bool>(victims.size(), false), {}, {}};
     for (const std::size_t groupIndex : planningOrder(groups)) {
-        PlanGroup group = groups[groupIndex];
+        if (plan.starts.size() >= m_policy.maxStarts) {
+            plan.complete = false;
+            break;
+        }
+        const PlanGroup &group = groups[groupIndex];
+        GroupState placing{group, group.onWorker};
         for (const std::uint32_t index : group.indexes) {
             Placement placement;
-            if (find(group, state, placement)) {
-                for (const std::uint32_t worker : placement.workers) {
-                    state.workers[worker].free -= group.spec().demand;
-                    if (worker < group.onWorker.size()) {
-                        ++group.onWorker[worker];
-                    }
-                }
+            if (find(placing, state, placement)) {
+                take(placing, state, placement);
                 plan.starts.push_back({groupIndex, index, std::move(placement.workers)});
                 continue;
             }
@@ -315,29 +407,16 @@
             if (group.job->terms.priority != 0 || (missed && !group.guaranteed)) {
                 break; // the other units of the group are interchangeable with this one
             }
+            indexVictims(state);
             Placement forced;
-            if (!findByStopping(group, state, forced)) {
+            if (!findByStopping(placing, state, forced)) {
                 break;
             }
             if (canWait(group) && !forced.stops.empty()) {
                 break; // running units may end in time without preemption
             }
-            for (const std::size_t victim : forced.stops) {
-                state.stopped[victim] = true;
-                plan.stops.push_back(victim);
-                for (const std::uint32_t worker : state.victims[victim].workers) {
-                    state.workers[worker].stopping += state.victims[victim].demand;
-                }
-            }
-            // Resources are reserved for the unit until the stopped tasks have ended.
-            for (const std::uint32_t worker : forced.workers) {
-                PlanWorker &host = state.workers[worker];
-                host.stopping += host.free;
-                host.stopping -= group.spec().demand;
-                host.free -= group.spec().demand;
-                host.free = clampToZero(host.free);
-                host.stopping -= host.free;
-            }
+            reserve(group, state, forced);
+            plan.stops.insert(plan.stops.end(), forced.stops.begin(), forced.stops.end());
         }
     }
     return plan;
