--- a/src/pool/ActiveUnit.h
+++ b/src/pool/ActiveUnit.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "pool/PoolWorker.h"
 #include "pool/WorkerStatus.h"
 
 #include <cstdint>
@@ -14,6 +15,7 @@
 struct ActiveMember {
     RunName run; ///< Its run.
     TaskPlace place; ///< Worker that it is assigned to.
+    PoolWorker *worker = nullptr; ///< The owner's view of that worker.
     bool confirmed = false; ///< The worker has reported it as running.
     std::uint64_t batch = 0; ///< Batch of orders that carried its start; zero if an earlier owner started it.
     std::uint64_t agentIncarnation = 0; ///< Incarnation of the agent that the start was sent to.
@@ -47,6 +49,7 @@
 /// One run of a unit: a gang, or one task.
 struct ActiveUnit {
     std::string job; ///< Id of the job.
+    GraphRecord *record = nullptr; ///< The job; it stays open while it has active units.
     UnitKey key; ///< Key of the unit.
     std::uint32_t run = 0; ///< Number of the run.
     UnitPhase phase = UnitPhase::Planned; ///< Current phase.
@@ -54,6 +57,12 @@
     StopReason stopping = StopReason::None; ///< Why it is being stopped.
     TimePoint startedAt{}; ///< When its start was ordered, or when this owner took it over.
     TimePoint nextStop{}; ///< When to send the stops next.
+
+    /// @return The step.
+    const StepSpec &spec() const
+    {
+        return record->spec.steps[key.step];
+    }
 };
 
 } // namespace banyanlock
--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -93,7 +93,10 @@
         if (hasEnded(record.progress.state)) {
             close(*id);
         } else {
-            m_open.insert(*id);
+            m_open[*id] = &record;
+            if (record.cancelled) {
+                m_cancelledOpen.insert(*id);
+            }
         }
     }
     return changed && record.isComplete() ? *id : std::string();
@@ -103,6 +106,7 @@
 {
     m_records.clear();
     m_open.clear();
+    m_cancelledOpen.clear();
     m_ended.clear();
 }
 
@@ -120,9 +124,9 @@
 
 std::uint32_t GraphTable::countPending(const std::string &queue) const
 {
-    return static_cast<std::uint32_t>(std::ranges::count_if(m_open, [&](const std::string &id) {
-        const GraphRecord *record = find(id);
-        return record != nullptr && record->terms.queue == queue && record->publicState() == GraphState::Queued;
+    return static_cast<std::uint32_t>(std::ranges::count_if(m_open, [&](const auto &entry) {
+        const GraphRecord &record = *entry.second;
+        return record.terms.queue == queue && record.publicState() == GraphState::Queued;
     }));
 }
 
--- a/src/pool/GraphTable.h
+++ b/src/pool/GraphTable.h
@@ -32,12 +32,19 @@
     /// @return Its record if its specification and progress rows are known, else null.
     const GraphRecord *find(const std::string &id) const;
 
-    /// @return Ids of the jobs that have not ended according to their progress; a cancelled job is included until its tasks have ended.
-    const std::set<std::string> &open() const
+    /// @return The jobs that have not ended according to their progress, by id; a cancelled job is included until its tasks have ended.
+    /// The records stay where they are until their jobs are erased.
+    const std::map<std::string, GraphRecord *> &open() const
     {
         return m_open;
     }
 
+    /// @return Ids of the open jobs that are cancelled.
+    const std::set<std::string> &cancelledOpen() const
+    {
+        return m_cancelledOpen;
+    }
+
     /// @return Ids of the jobs that have ended.
     const std::set<std::string> &ended() const
     {
@@ -49,6 +56,7 @@
     void close(const std::string &id)
     {
         m_open.erase(id);
+        m_cancelledOpen.erase(id);
         m_ended.insert(id);
     }
 
@@ -57,6 +65,7 @@
     void erase(const std::string &id)
     {
         m_open.erase(id);
+        m_cancelledOpen.erase(id);
         m_ended.erase(id);
         m_records.erase(id);
     }
@@ -70,7 +79,8 @@
     bool adoptProgress(GraphRecord &record, const TableRow &row, bool ownsProgress);
 
     std::map<std::string, GraphRecord> m_records;
-    std::set<std::string> m_open;
+    std::map<std::string, GraphRecord *> m_open;
+    std::set<std::string> m_cancelledOpen;
     std::set<std::string> m_ended;
 };
 
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -27,12 +27,11 @@
     return unit == m_units.end() ? nullptr : &unit->second;
 }
 
-bool PoolScheduler::isExpectedOn(const std::string &agent, const RunName &run) const
+bool PoolScheduler::isExpectedOn(const PoolWorker &worker, const RunName &run)
 {
-    const ActiveUnit *unit = findUnitOf(run.task);
-    return unit != nullptr && std::ranges::any_of(unit->members, [&](const ActiveMember &member) {
-               return member.run == run && member.place.agent == agent && !member.ending;
-           });
+    return std::ranges::any_of(worker.members, [&](const PlacedMember &placed) {
+        return placed.member->run == run && !placed.member->ending;
+    });
 }
 
 void PoolScheduler::onCallAnswered(const std::string &agent, std::uint64_t call, const WorkerStatus *status, TimePoint sentAt,
@@ -101,25 +100,24 @@
 void PoolScheduler::resolveUnconfirmed(const PoolWorker &worker)
 {
     // Even an unchanged status can prove that a start that was in flight never took effect.
-    for (auto &[id, unit] : m_units) {
-        for (ActiveMember &member : unit.members) {
-            if (!member.confirmed && !member.ending && unit.phase == UnitPhase::Started && member.place.agent == worker.agent) {
-                updateMember(member, worker);
-            }
+    for (const PlacedMember &placed : worker.members) {
+        if (!placed.member->confirmed && !placed.member->ending && placed.unit->phase == UnitPhase::Started) {
+            updateMember(placed, worker);
         }
     }
 }
 
 void PoolScheduler::applyStatus(PoolWorker &worker, TimePoint now)
 {
-    for (auto &[id, unit] : m_units) {
-        for (ActiveMember &member : unit.members) {
-            if (member.place.agent == worker.agent && unit.phase == UnitPhase::Started && !member.ending) {
-                updateMember(member, worker);
-            }
+    worker.resourcesChanged = true;
+    for (const PlacedMember &placed : worker.members) {
+        if (placed.unit->phase == UnitPhase::Started && !placed.member->ending) {
+            updateMember(placed, worker);
         }
-        if (unit.phase == UnitPhase::Started) {
-            checkGang(unit, now);
+    }
+    for (const PlacedMember &placed : worker.members) {
+        if (placed.unit->phase == UnitPhase::Started) {
+            checkGang(*placed.unit, now);
         }
     }
     applyLateSuccesses(worker);
@@ -180,8 +178,17 @@
     }
 }
 
-void PoolScheduler::updateMember(ActiveMember &member, const PoolWorker &worker)
+void PoolScheduler::endMember(const ActiveUnit &unit, ActiveMember &member, RunEnding ending)
 {
+    member.ending = ending;
+    member.worker->resourcesChanged = true;
+    m_endedMembers.insert({unit.job, unit.key});
+}
+
+void PoolScheduler::updateMember(const PlacedMember &placed, const PoolWorker &worker)
+{
+    const ActiveUnit &unit = *placed.unit;
+    ActiveMember &member = *placed.member;
     const WorkerStatus &status = worker.status;
     if (status.worker.incarnation.worker.empty()) {
         return; // a new agent process that has not received an announcement of its worker
@@ -196,7 +203,7 @@
             return;
         }
         if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
-            member.ending = RunEnding::WorkerLost;
+            endMember(unit, member, RunEnding::WorkerLost);
             Log::info("run_lost_with_worker",
                       {{"run", describe(member.run)},
                        {"worker", member.place.incarnation.worker},
@@ -210,7 +217,7 @@
         member.place.incarnation = status.worker.incarnation;
     }
     if (end != status.ends.end()) {
-        member.ending = end->ending;
+        endMember(unit, member, end->ending);
         if (!end->checkpoint.empty()) {
             member.checkpoint = end->checkpoint;
         }
@@ -235,14 +242,14 @@
     if (status.leaseExpired) {
         // A start that has not reached the agent may still take effect there.
         if (member.batch == 0 || member.confirmed || orderApplied || startExpired) {
-            member.ending = RunEnding::LeaseExpired;
+            endMember(unit, member, RunEnding::LeaseExpired);
         }
         return;
     }
     // The worker refuses starts of earlier owners that it had not executed when it reported its runs.
     const bool epochProven = member.batch == 0 && status.runsKnownEpoch >= m_epoch;
     if (status.runsKnown && (epochProven || orderApplied || startExpired)) {
-        member.ending = member.confirmed ? RunEnding::LeaseExpired : RunEnding::NeverStarted;
+        endMember(unit, member, member.confirmed ? RunEnding::LeaseExpired : RunEnding::NeverStarted);
         Log::info("run_not_reported",
                   {{"run", describe(member.run)},
                    {"worker", member.place.incarnation.worker},
@@ -254,32 +261,32 @@
 
 void PoolScheduler::expireSilentRuns(TimePoint now)
 {
-    for (auto &[id, unit] : m_units) {
-        if (unit.phase != UnitPhase::Started) {
+    for (const auto &[agent, worker] : m_workers) {
+        const bool silent = !worker.known || isSilent(worker, now);
+        if (!silent && worker.status.runsKnown) {
             continue;
         }
-        for (ActiveMember &member : unit.members) {
-            const PoolWorker *worker = findWorker(member.place);
-            if (member.ending || worker == nullptr) {
+        // An agent that does not know the worker's runs gets no renewals. A silent agent may have received renewals that it did not
+        // answer.
+        const TimePoint renewed = silent ? std::max(worker.lastRenewalSent, worker.statusReceivedAt) : worker.lastRenewalSent;
+        const TimePoint leaseEnd = renewed + m_timing.callValidity + m_timing.lease + m_timing.leaseSlack;
+        for (const PlacedMember &placed : worker.members) {
+            ActiveMember &member = *placed.member;
+            if (placed.unit->phase != UnitPhase::Started || member.ending || now <= leaseEnd
+                || now <= member.startExpiredAt + m_timing.lease) {
                 continue;
             }
-            const bool silent = !worker->known || isSilent(*worker, now);
-            if (!silent && worker->status.runsKnown) {
-                continue;
-            }
-            // An agent that does not know the worker's runs gets no renewals. A silent agent may have received renewals that it did not
-            // answer.
-            const TimePoint renewed = silent ? std::max(worker->lastRenewalSent, worker->statusReceivedAt) : worker->lastRenewalSent;
-            const TimePoint leaseEnd = renewed + m_timing.callValidity + m_timing.lease + m_timing.leaseSlack;
-            if (now > leaseEnd && now > member.startExpiredAt + m_timing.lease) {
-                member.ending = RunEnding::LeaseExpired;
-                Log::warning("run_lapsed_unseen",
-                             {{"run", describe(member.run)},
-                              {"worker", member.place.incarnation.worker},
-                              {"silent_ms", toMilliseconds(now - std::max(worker->lastRenewalSent, worker->statusReceivedAt))}});
-            }
+            endMember(*placed.unit, member, RunEnding::LeaseExpired);
+            Log::warning("run_lapsed_unseen",
+                         {{"run", describe(member.run)},
+                          {"worker", member.place.incarnation.worker},
+                          {"silent_ms", toMilliseconds(now - std::max(worker.lastRenewalSent, worker.statusReceivedAt))}});
+        }
+    }
+    for (auto &[id, unit] : m_units) {
+        if (unit.phase == UnitPhase::Started) {
+            checkGang(unit, now);
         }
-        checkGang(unit, now);
     }
 }
 
@@ -290,9 +297,8 @@
     bool broken = false;
     for (const ActiveMember &member : unit.members) {
         if (!member.ending) {
-            const PoolWorker *worker = findWorker(member.place);
-            if (worker == nullptr || !worker->known || !worker->status.connectionRefused
-                || worker->status.worker.incarnation != member.place.incarnation) {
+            const PoolWorker &worker = *member.worker;
+            if (!worker.known || !worker.status.connectionRefused || worker.status.worker.incarnation != member.place.incarnation) {
                 return;
             }
         } else if (*member.ending == RunEnding::GangMemberEnded) {
@@ -306,7 +312,7 @@
     }
     for (ActiveMember &member : unit.members) {
         if (!member.ending) {
-            member.ending = RunEnding::WorkerLost;
+            endMember(unit, member, RunEnding::WorkerLost);
             Log::info("run_lost_with_gang", {{"run", describe(member.run)}, {"worker", member.place.incarnation.worker}});
         }
     }
@@ -339,7 +345,7 @@
         const bool ordered = std::ranges::any_of(worker.orders, [&](const TaskOrder &order) {
             return order.run == report.run;
         });
-        if (ordered || isExpectedOn(worker.agent, report.run)) {
+        if (ordered || isExpectedOn(worker, report.run)) {
             continue;
         }
         Log::warning("unknown_run_stopped", {{"run", describe(report.run)}, {"agent", worker.agent}});
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -59,34 +59,34 @@
     });
 }
 
-Duration PoolScheduler::slackOf(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now) const
+Duration PoolScheduler::slackOf(const GraphRecord &job, const std::vector<Duration> &criticalPaths, std::uint32_t occurrence,
+                                std::uint32_t step, TimePoint now) const
 {
     const Repetition &repetition = job.spec.repetition;
     const std::int64_t begin = repetition.count == 0
         ? job.acceptedUnixMilliseconds
         : repetition.firstUnixMilliseconds + repetition.intervalMilliseconds * static_cast<std::int64_t>(occurrence);
     const Duration age = fromMilliseconds(unixNow(now) - begin);
-    const std::vector<Duration> criticalPaths = criticalPathsOf(job.spec);
     const Duration longest = *std::ranges::max_element(criticalPaths);
     const double allowed = job.terms.slackFactor * static_cast<double>(longest.count());
     const double maxAllowed = static_cast<double>(InputLimits::span.count()); // an upper bound that fits into a span
     return Duration(static_cast<std::int64_t>(std::min(allowed, maxAllowed))) + job.terms.targetLatency - age - criticalPaths[step];
 }
 
-std::set<std::string> PoolScheduler::guaranteedJobs() const
+std::set<const GraphRecord *> PoolScheduler::guaranteedJobs() const
 {
     std::vector<const GraphRecord *> urgent;
-    for (const std::string &id : m_jobs.open()) {
-        const GraphRecord *job = std::as_const(m_jobs).find(id);
-        if (job != nullptr && job->terms.priority == 0 && !job->cancelled) {
+    for (const auto &[id, job] : m_jobs.open()) {
+        if (job->terms.priority == 0 && !job->cancelled) {
             urgent.push_back(job);
         }
     }
     std::ranges::sort(urgent, [](const GraphRecord *left, const GraphRecord *right) {
-        return std::pair(left->acceptedUnixMilliseconds, left->id) < std::pair(right->acceptedUnixMilliseconds, right->id);
+        return std::pair(left->acceptedUnixMilliseconds, std::string_view(left->id))
+            < std::pair(right->acceptedUnixMilliseconds, std::string_view(right->id));
     });
-    std::map<std::string, std::int64_t> used;
-    std::set<std::string> guaranteed;
+    std::map<std::string_view, std::int64_t> used;
+    std::set<const GraphRecord *> guaranteed;
     for (const GraphRecord *job : urgent) {
         std::int64_t need = 0;
         for (const StepSpec &step : job->spec.steps) {
@@ -95,7 +95,7 @@
         std::int64_t &total = used[job->terms.workspace];
         if (total + need <= m_operators.configuration.guaranteeOf(job->terms.workspace)) {
             total += need;
-            guaranteed.insert(job->id);
+            guaranteed.insert(job);
         }
     }
     return guaranteed;
@@ -108,127 +108,155 @@
         && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
 }
 
-std::vector<PlanWorker> PoolScheduler::planWorkers(const std::vector<std::string> &agents, TimePoint now) const
+void PoolScheduler::indexWorkers()
 {
-    std::vector<PlanWorker> plan;
-    plan.reserve(agents.size());
-    for (const std::string &agent : agents) {
-        const PoolWorker &worker = m_workers.at(agent);
-        PlanWorker view;
-        view.free = worker.status.worker.capacity;
-        view.rack = rackOf(worker.status.worker);
-        view.labels = worker.status.worker.labels;
-        view.service = worker.status.worker.service;
-        view.usable = isUsable(worker, now);
-        view.suspect = now < worker.suspectedUntil;
-        plan.push_back(std::move(view));
+    m_planWorkers.clear();
+    for (auto &[agent, worker] : m_workers) {
+        worker.index = static_cast<std::uint32_t>(m_workersByIndex.size());
+        worker.resourcesChanged = true;
+        m_workersByIndex.push_back(&worker);
     }
-    const auto indexOf = [&](const std::string &agent) {
-        return static_cast<std::size_t>(std::ranges::lower_bound(agents, agent) - agents.begin());
-    };
-    for (const auto &[id, unit] : m_units) {
-        const Resources &demand = std::as_const(m_jobs).find(unit.job)->spec.steps[unit.key.step].demand;
-        for (const ActiveMember &member : unit.members) {
-            if (!member.ending) {
-                PlanWorker &host = plan[indexOf(member.place.agent)];
-                host.free -= demand;
-                if (unit.stopping != StopReason::None) {
-                    host.stopping += demand;
-                }
+    m_planWorkers.resize(m_workersByIndex.size());
+    m_waiting.clear(); // groups with a spread limit refer to workers by index
+}
+
+void PoolScheduler::addUpResources(PoolWorker &worker)
+{
+    worker.resourcesChanged = false;
+    worker.runsUnknownTask = false;
+    PlanWorker &view = m_planWorkers[worker.index];
+    view = PlanWorker();
+    view.free = worker.status.worker.capacity;
+    view.rack = rackOf(worker.status.worker);
+    view.labels = worker.status.worker.labels;
+    view.service = worker.status.worker.service;
+    for (const PlacedMember &placed : worker.members) {
+        if (!placed.member->ending) {
+            view.free -= placed.unit->spec().demand;
+            if (placed.unit->stopping != StopReason::None) {
+                view.stopping += placed.unit->spec().demand;
             }
         }
     }
     // Runs that are no longer expected hold resources until their ends are reported.
-    for (std::size_t index = 0; index < agents.size(); ++index) {
-        const PoolWorker &worker = m_workers.at(agents[index]);
-        for (const RunReport &report : worker.status.runs) {
-            const std::optional<UnitId> unit = unitOf(report.run.task);
-            if (!unit) {
-                plan[index].usable = false; // the run is of an unknown job, so its resource demand is unknown
-            } else if (!isExpectedOn(agents[index], report.run)) {
-                plan[index].free -= std::as_const(m_jobs).find(unit->first)->spec.steps[unit->second.step].demand;
+    for (const RunReport &report : worker.status.runs) {
+        if (isExpectedOn(worker, report.run)) {
+            continue;
+        }
+        if (const std::optional<UnitId> unit = unitOf(report.run.task)) {
+            view.free -= std::as_const(m_jobs).find(unit->first)->spec.steps[unit->second.step].demand;
+        } else {
+            worker.runsUnknownTask = true; // the run is of an unknown job, so its resource demand is unknown
+        }
+    }
+}
+
+void PoolScheduler::updatePlanWorkers(TimePoint now)
+{
+    for (PoolWorker *worker : m_workersByIndex) {
+        if (worker->resourcesChanged) {
+            addUpResources(*worker);
+        }
+        PlanWorker &view = m_planWorkers[worker->index];
+        view.usable = isUsable(*worker, now) && !worker->runsUnknownTask;
+        view.suspect = now < worker->suspectedUntil;
+    }
+}
+
+PlanGroup PoolScheduler::makeGroup(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step) const
+{
+    const StepSpec &spec = job.spec.steps[step];
+    PlanGroup group;
+    group.job = &job;
+    group.occurrence = occurrence;
+    group.step = step;
+    const std::uint32_t units = unitsOf(spec);
+    std::vector<bool> waits(units, true);
+    const UnitKey last{occurrence, step, UINT32_MAX};
+    const auto progressEnd = job.progress.units.upper_bound(last);
+    for (auto unit = job.progress.units.lower_bound({occurrence, step, 0}); unit != progressEnd; ++unit) {
+        if (unit->second.succeeded) {
+            waits[unit->first.index] = false;
+        }
+    }
+    if (spec.spreadLimit != 0) {
+        group.onWorker.assign(m_workersByIndex.size(), 0);
+    }
+    const auto activeEnd = m_units.upper_bound({job.id, last});
+    for (auto unit = m_units.lower_bound({job.id, {occurrence, step, 0}}); unit != activeEnd; ++unit) {
+        waits[unit->first.second.index] = false;
+        if (spec.spreadLimit != 0) {
+            for (const ActiveMember &member : unit->second.members) {
+                ++group.onWorker[member.worker->index];
             }
         }
     }
-    return plan;
+    for (std::uint32_t index = 0; index < units; ++index) {
+        if (waits[index]) {
+            group.indexes.push_back(index);
+        }
+    }
+    return group;
 }
 
-void PoolScheduler::addGroups(const GraphRecord &job, TimePoint now, const std::vector<std::string> &agents, std::vector<PlanGroup> &groups)
+void PoolScheduler::collectGroups(const GraphRecord &job, WaitingUnits &waiting, TimePoint now) const
 {
+    waiting.groups.clear();
+    waiting.changed = job.spec.repetition.count != 0; // the next occurrence becomes due without a change of progress
+    if (waiting.criticalPaths.empty()) {
+        waiting.criticalPaths = criticalPathsOf(job.spec);
+    }
     for (std::uint32_t occurrence = job.progress.finishedOccurrences; occurrence < occurrencesOf(job.spec); ++occurrence) {
         if (!isDue(job, occurrence, now)) {
             return;
         }
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            const StepSpec &spec = job.spec.steps[step];
-            if (!isReady(job, occurrence, spec)) {
+            if (!isReady(job, occurrence, job.spec.steps[step])) {
                 continue;
             }
-            PlanGroup group;
-            group.job = &job;
-            group.occurrence = occurrence;
-            group.step = step;
-            if (spec.spreadLimit != 0) {
-                group.onWorker.assign(agents.size(), 0);
-            }
-            for (std::uint32_t index = 0; index < unitsOf(spec); ++index) {
-                const UnitKey key{occurrence, step, index};
-                const auto active = m_units.find({job.id, key});
-                const auto progress = job.progress.units.find(key);
-                if (active != m_units.end() && spec.spreadLimit != 0) {
-                    for (const ActiveMember &member : active->second.members) {
-                        const auto place = std::ranges::lower_bound(agents, member.place.agent);
-                        ++group.onWorker[static_cast<std::size_t>(place - agents.begin())];
-                    }
-                }
-                if (active == m_units.end() && (progress == job.progress.units.end() || !progress->second.succeeded)) {
-                    group.indexes.push_back(index);
-                }
-            }
+            PlanGroup group = makeGroup(job, occurrence, step);
             if (!group.indexes.empty()) {
-                const auto since = m_waitingSince.try_emplace({job.id, {occurrence, step, 0}}, now).first;
-                group.waited = now - since->second;
-                group.slack = slackOf(job, occurrence, step, now);
-                groups.push_back(std::move(group));
+                waiting.groups.push_back(std::move(group));
             }
         }
     }
 }
 
-void PoolScheduler::schedule(TimePoint now)
+std::vector<PlanGroup> PoolScheduler::waitingGroups(const std::set<const GraphRecord *> &guaranteed, TimePoint now)
 {
-    std::vector<std::string> agents;
-    for (const auto &[agent, worker] : m_workers) {
-        agents.push_back(agent);
-    }
-    const std::set<std::string> guaranteed = guaranteedJobs();
     std::vector<PlanGroup> groups;
-    for (const std::string &id : m_jobs.open()) {
-        const GraphRecord *job = std::as_const(m_jobs).find(id);
-        if (job == nullptr || job->cancelled || hasEnded(job->progress.state)) {
+    for (const auto &[id, job] : m_jobs.open()) {
+        if (job->cancelled || hasEnded(job->progress.state)) {
             continue;
         }
-        const std::size_t before = groups.size();
-        addGroups(*job, now, agents, groups);
-        for (std::size_t index = before; index < groups.size(); ++index) {
-            groups[index].guaranteed = guaranteed.contains(id);
+        WaitingUnits &waiting = m_waiting[job];
+        if (waiting.changed) {
+            collectGroups(*job, waiting, now);
+        }
+        for (PlanGroup &group : waiting.groups) {
+            const auto since = m_waitingSince.try_emplace({id, {group.occurrence, group.step, 0}}, now).first;
+            group.waited = now - since->second;
+            group.slack = slackOf(*job, waiting.criticalPaths, group.occurrence, group.step, now);
+            group.guaranteed = guaranteed.contains(job);
+            groups.push_back(group);
         }
     }
-    if (groups.empty()) {
-        return;
-    }
+    return groups;
+}
+
+std::vector<PlanVictim> PoolScheduler::makeVictims(const std::set<const GraphRecord *> &guaranteed, std::vector<ActiveUnit *> &units,
+                                                   TimePoint now)
+{
     std::vector<PlanVictim> victims;
-    std::vector<UnitId> victimUnits;
-    for (const auto &[id, unit] : m_units) {
-        const GraphRecord *job = std::as_const(m_jobs).find(unit.job);
-        const StepSpec &step = job->spec.steps[unit.key.step];
+    for (auto &[id, unit] : m_units) {
+        const StepSpec &step = unit.spec();
         if (unit.phase != UnitPhase::Started || unit.stopping != StopReason::None) {
             continue;
         }
         PlanVictim victim;
         victim.demand = step.demand;
-        victim.priority = job->terms.priority;
-        victim.guaranteed = guaranteed.contains(unit.job);
+        victim.priority = unit.record->terms.priority;
+        victim.guaranteed = guaranteed.contains(unit.record);
         constexpr Duration checkpointInterval = fromMilliseconds(1000); // bounds the work lost by stopping a checkpointing task
         const Duration elapsed = now - unit.startedAt;
         const Duration lost = step.checkpoints ? std::min(elapsed, checkpointInterval) : elapsed;
@@ -237,24 +265,47 @@
             / microsecondsPerSecond;
         for (const ActiveMember &member : unit.members) {
             if (!member.ending) {
-                victim.workers.push_back(static_cast<std::uint32_t>(std::ranges::lower_bound(agents, member.place.agent) - agents.begin()));
+                victim.workers.push_back(member.worker->index);
             }
         }
         victims.push_back(std::move(victim));
-        victimUnits.push_back(id);
+        units.push_back(&unit);
+    }
+    return victims;
+}
+
+bool PoolScheduler::schedule(TimePoint now)
+{
+    if (m_workersByIndex.empty()) {
+        indexWorkers();
+    }
+    const std::set<const GraphRecord *> guaranteed = guaranteedJobs();
+    const std::vector<PlanGroup> groups = waitingGroups(guaranteed, now);
+    if (groups.empty()) {
+        return true;
+    }
+    updatePlanWorkers(now);
+    std::vector<ActiveUnit *> victimUnits;
+    std::vector<PlanVictim> victims;
+    const bool mayPreempt = std::ranges::any_of(groups, [](const PlanGroup &group) {
+        return group.job->terms.priority == 0;
+    });
+    if (mayPreempt) {
+        victims = makeVictims(guaranteed, victimUnits, now);
     }
-    const PoolPlan plan = m_planner.plan(groups, planWorkers(agents, now), victims);
+    const PoolPlan plan = m_planner.plan(groups, m_planWorkers, victims);
     for (const std::size_t victim : plan.stops) {
-        ActiveUnit &unit = m_units.at(victimUnits[victim]);
+        ActiveUnit &unit = *victimUnits[victim];
         stop(unit, StopReason::Preempted);
         sendStops(unit, now);
     }
     for (const PlannedStart &start : plan.starts) {
-        place(groups[start.group], start, agents, now);
+        place(groups[start.group], start, now);
     }
+    return plan.complete;
 }
 
-void PoolScheduler::place(const PlanGroup &group, const PlannedStart &start, const std::vector<std::string> &agents, TimePoint now)
+void PoolScheduler::place(const PlanGroup &group, const PlannedStart &start, TimePoint now)
 {
     GraphRecord *job = m_jobs.find(group.job->id);
     BANYANLOCK_ASSERT(job != nullptr);
@@ -262,16 +313,18 @@
     UnitProgress &progress = job->progress.units[key];
     ActiveUnit unit;
     unit.job = job->id;
+    unit.record = job;
     unit.key = key;
     unit.run = ++progress.run;
     unit.startedAt = now;
     std::string workers;
     Duration oldestStatus{};
     for (std::uint32_t member = 0; member < start.workers.size(); ++member) {
-        const PoolWorker &worker = m_workers.at(agents[start.workers[member]]);
+        PoolWorker &worker = *m_workersByIndex[start.workers[member]];
         ActiveMember active;
         active.run = {{job->id, key.occurrence, key.step, group.spec().gang ? member : key.index}, unit.run};
         active.place = {worker.status.worker.incarnation, worker.agent};
+        active.worker = &worker;
         active.checkpoint = progress.checkpoint;
         progress.places.push_back(active.place);
         workers += (workers.empty() ? "" : ",") + worker.status.worker.incarnation.worker + "@"
@@ -293,8 +346,8 @@
                {"waited_ms", toMilliseconds(group.waited)},
                {"slack_ms", toMilliseconds(group.slack)},
                {"configuration", static_cast<std::int64_t>(m_operators.configuration.version)}});
-    m_units[{job->id, key}] = std::move(unit);
-    markDirty(job->id);
+    activate(std::move(unit));
+    markDirty(*job);
 }
 
 } // namespace banyanlock
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -16,8 +16,14 @@
 constexpr std::array<const char *, 7> stopReasonNames{"none",        "cancelled",     "job_failed",  "preempted",
                                                       "member_lost", "worker_leaves", "already_done"};
 
-// A transaction may have up to 100 entries; each job needs two, its row and the check of its cancellation.
-constexpr std::size_t maxJobsInBatch = 40;
+// The table service takes 100 entries in a transaction, and the host daemon adds two for the owner row.
+constexpr std::size_t maxEntriesInBatch = 98;
+
+// Each job needs two entries, its row and the check of its cancellation; the others are left for the checks of operators' rows.
+constexpr std::size_t maxJobsInBatch = 38;
+
+// Delay with which rows of ended jobs and vanished agents are erased, after a retention period of minutes.
+constexpr Duration erasureInterval = fromMilliseconds(1000);
 
 } // namespace
 
@@ -45,6 +51,7 @@
     m_ownedAt = now;
     m_earlierOwnersRenewUntil = handedOver ? now : now + m_timing.detachedLimit;
     requestPlan();
+    m_workersByIndex.clear();
     for (auto &[agent, worker] : m_workers) {
         const std::string address = agent;
         worker = PoolWorker();
@@ -56,17 +63,14 @@
 
 void PoolScheduler::restoreRunningUnits(TimePoint now)
 {
-    for (const std::string &id : m_jobs.open()) {
-        const GraphRecord *job = m_jobs.find(id);
-        if (job == nullptr) {
-            continue;
-        }
+    for (const auto &[id, job] : m_jobs.open()) {
         for (const auto &[key, progress] : job->progress.units) {
             if (progress.places.empty()) {
                 continue;
             }
             ActiveUnit unit;
             unit.job = id;
+            unit.record = job;
             unit.key = key;
             unit.run = progress.run;
             unit.phase = UnitPhase::Started;
@@ -79,9 +83,10 @@
                 member.startExpiredAt = now + m_timing.startExpiry;
                 member.checkpoint = progress.checkpoint;
                 addAgent(member.place.agent);
+                member.worker = &m_workers.at(member.place.agent);
                 unit.members.push_back(std::move(member));
             }
-            m_units[{id, key}] = std::move(unit);
+            activate(std::move(unit));
         }
     }
     Log::info("pool_state_restored",
@@ -95,6 +100,11 @@
     m_epoch = 0;
     m_superseded = false;
     m_units.clear();
+    m_endedMembers.clear();
+    m_waiting.clear();
+    for (auto &[agent, worker] : m_workers) {
+        worker.members.clear();
+    }
     m_dirty.clear();
     m_recording.clear();
     m_batchJobs.clear();
@@ -116,12 +126,25 @@
     worker.agent = agent;
     worker.lastRenewalSent = m_earlierOwnersRenewUntil;
     m_workers[agent] = std::move(worker);
+    m_workersByIndex.clear();
+    requestPlan();
+}
+
+void PoolScheduler::onRows()
+{
     requestPlan();
+    for (auto &[agent, worker] : m_workers) {
+        worker.resourcesChanged = worker.resourcesChanged || worker.runsUnknownTask;
+    }
 }
 
-void PoolScheduler::markDirty(const std::string &job)
+void PoolScheduler::markDirty(const GraphRecord &job)
 {
-    m_dirty.insert(job);
+    m_dirty.try_emplace(job.id, ++m_dirtyOrder);
+    const auto waiting = m_waiting.find(&job);
+    if (waiting != m_waiting.end()) {
+        waiting->second.changed = true;
+    }
 }
 
 void PoolScheduler::step(TimePoint now, std::int64_t unixMilliseconds)
@@ -142,38 +165,37 @@
     stopObsoleteUnits(now);
     closeEndedUnits(now);
     if (m_planDue || now - m_plannedAt >= m_timing.maxPlanInterval) {
-        schedule(now);
-        m_planDue = false;
+        m_planDue = !schedule(now);
         m_plannedAt = now;
     }
     sendCalls(now);
-    m_changed = false;
+    m_changed = m_planDue; // a plan that was not completed goes on with the next step
 }
 
 void PoolScheduler::addErasures(PoolBatch &batch, TimePoint now)
 {
-    // Each erased job needs three entries of a transaction, which may have up to 100.
-    constexpr std::size_t maxErasures = 10;
+    if (now < m_nextErasure) {
+        return;
+    }
+    m_nextErasure = now + erasureInterval;
     const std::string table(PoolRows::table);
+    const std::size_t entries = batch.writes.size() + batch.checks.size();
+    std::size_t room = entries < maxEntriesInBatch ? maxEntriesInBatch - entries : 0;
+    constexpr std::array prefixes{PoolRows::specPrefix, PoolRows::progressPrefix, PoolRows::cancelPrefix};
     for (const std::string &id : m_jobs.ended()) {
         const TimePoint since = m_endedSince.try_emplace(id, now).first->second;
-        if (now - since < m_timing.retentionPeriod || m_erasedJobs.size() >= maxErasures) {
+        if (now - since < m_timing.retentionPeriod || room < prefixes.size()) {
             continue;
         }
-        for (const std::string_view prefix : {PoolRows::specPrefix, PoolRows::progressPrefix, PoolRows::cancelPrefix}) {
+        room -= prefixes.size();
+        for (const std::string_view prefix : prefixes) {
             batch.writes.push_back({table, PoolRows::keyOf(prefix, id), std::nullopt});
         }
         m_erasedJobs.push_back(id);
     }
-    for (const auto &entry : m_workers) {
-        const PoolWorker &worker = entry.second;
-        const std::string &agent = worker.agent;
-        const bool used = std::ranges::any_of(m_units, [&](const auto &unit) {
-            return std::ranges::any_of(unit.second.members, [&](const ActiveMember &member) {
-                return member.place.agent == agent;
-            });
-        });
-        if (!used && now - std::max(worker.statusReceivedAt, m_ownedAt) > m_timing.retentionPeriod && m_erasedAgents.size() < maxErasures) {
+    for (const auto &[agent, worker] : m_workers) {
+        if (worker.members.empty() && now - std::max(worker.statusReceivedAt, m_ownedAt) > m_timing.retentionPeriod && room > 0) {
+            --room;
             batch.writes.push_back({table, PoolRows::keyOf(PoolRows::workerPrefix, agent), std::nullopt});
             m_erasedAgents.push_back(agent);
         }
@@ -188,8 +210,13 @@
         m_counters.add(Counter::JobsErased);
     }
     for (const std::string &agent : std::exchange(m_erasedAgents, {})) {
+        const auto worker = m_workers.find(agent);
+        if (worker == m_workers.end() || !worker->second.members.empty()) {
+            continue; // it has returned and got a task since the batch was made; its next process registers itself again
+        }
         Log::info("agent_erased", {{"agent", agent}});
-        m_workers.erase(agent);
+        m_workers.erase(worker);
+        m_workersByIndex.clear();
     }
 }
 
@@ -199,17 +226,10 @@
         return std::nullopt;
     }
     PoolBatch batch;
-    addErasures(batch, now);
-    if (m_dirty.empty() && batch.writes.empty()) {
-        return std::nullopt;
-    }
     std::set<std::string> domains;
     std::set<std::string> starting;
     std::map<std::string, GraphState> written;
-    for (const std::string &id : m_dirty) {
-        if (written.size() >= maxJobsInBatch) {
-            break;
-        }
+    for (const std::string &id : chooseDirtyJobs()) {
         const GraphRecord *job = m_jobs.find(id);
         BANYANLOCK_ASSERT(job != nullptr);
         batch.writes.push_back(
@@ -223,7 +243,7 @@
             m_recording.push_back(unit->first);
             starting.insert(id);
             for (const ActiveMember &member : unit->second.members) {
-                domains.insert(m_workers.at(member.place.agent).status.worker.failureDomain);
+                domains.insert(member.worker->status.worker.failureDomain);
             }
         }
     }
@@ -240,16 +260,34 @@
             batch.checks.push_back({m_rows.table, m_rows.outDomainPrefix + domain, 0});
         }
     }
+    addErasures(batch, now);
+    if (batch.writes.empty()) {
+        return std::nullopt;
+    }
+    BANYANLOCK_ASSERT(batch.writes.size() + batch.checks.size() <= maxEntriesInBatch);
     m_endsInBatch.clear();
     if (m_dirty.empty()) {
         for (const auto &[agent, worker] : m_workers) {
-            m_endsInBatch[agent] = worker.processedEnd;
+            if (worker.processedEnd > worker.recordedEnd) {
+                m_endsInBatch[agent] = worker.processedEnd;
+            }
         }
     }
     m_batchInFlight = true;
     return batch;
 }
 
+std::vector<std::string> PoolScheduler::chooseDirtyJobs() const
+{
+    std::vector<std::string> chosen;
+    for (const auto &[id, order] : m_dirty) {
+        if (chosen.size() < maxJobsInBatch) {
+            chosen.push_back(id);
+        }
+    }
+    return chosen;
+}
+
 void PoolScheduler::onCommitted(TimePoint now)
 {
     if (!isOwner()) {
@@ -293,23 +331,27 @@
     m_endsInBatch.clear();
     m_erasedJobs.clear();
     m_erasedAgents.clear();
-    for (const UnitId &id : std::exchange(m_recording, {})) {
-        GraphRecord *job = m_jobs.find(id.first);
+    for (const auto &[id, state] : std::exchange(m_batchJobs, {})) {
+        const GraphRecord *job = m_jobs.find(id);
         BANYANLOCK_ASSERT(job != nullptr);
-        UnitProgress &progress = job->progress.units[id.second];
-        --progress.run; // no start was ordered under this number
-        progress.places.clear();
-        m_units.erase(id);
-        Log::info("start_withdrawn",
-                  {{"job", id.first}, {"configuration_row", static_cast<std::int64_t>(m_operators.configurationRowVersion)}});
+        markDirty(*job);
     }
-    // Progress other than starts is written by the next batch.
-    for (const auto &[id, state] : std::exchange(m_batchJobs, {})) {
-        m_dirty.insert(id);
+    for (const UnitId &id : std::exchange(m_recording, {})) {
+        withdraw(id);
     }
     requestPlan();
 }
 
+void PoolScheduler::withdraw(const UnitId &id)
+{
+    UnitProgress &progress = m_units.at(id).record->progress.units[id.second];
+    --progress.run; // no start was ordered under this number
+    progress.places.clear();
+    deactivate(id);
+    Log::info("start_withdrawn",
+              {{"job", id.first}, {"configuration_row", static_cast<std::int64_t>(m_operators.configurationRowVersion)}});
+}
+
 std::vector<CallAgent> PoolScheduler::takeCalls()
 {
     return std::exchange(m_calls, {});
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -134,10 +135,7 @@
     }
 
     /// Handles a change of jobs, cancellations or operator state.
-    void onRows()
-    {
-        requestPlan();
-    }
+    void onRows();
 
     /// Handles a timer tick: the next step is due.
     void onTick()
@@ -213,17 +211,20 @@
 
     // PoolScheduler.cpp: ownership and rows
     void restoreRunningUnits(TimePoint now);
-    void markDirty(const std::string &job);
+    void markDirty(const GraphRecord &job);
+    std::vector<std::string> chooseDirtyJobs() const;
+    void withdraw(const UnitId &id);
     void addErasures(PoolBatch &batch, TimePoint now);
     void removeErased();
 
     // PoolMembers.cpp: reports of workers on members of units
     std::optional<UnitId> unitOf(const TaskName &task) const;
     const ActiveUnit *findUnitOf(const TaskName &task) const;
-    bool isExpectedOn(const std::string &agent, const RunName &run) const;
+    static bool isExpectedOn(const PoolWorker &worker, const RunName &run);
     void applyStatus(PoolWorker &worker, TimePoint now);
     void resolveUnconfirmed(const PoolWorker &worker);
-    void updateMember(ActiveMember &member, const PoolWorker &worker);
+    void updateMember(const PlacedMember &placed, const PoolWorker &worker);
+    void endMember(const ActiveUnit &unit, ActiveMember &member, RunEnding ending);
     void expireSilentRuns(TimePoint now);
     void resolveBrokenGang(ActiveUnit &unit);
     void checkGang(ActiveUnit &unit, TimePoint now);
@@ -233,13 +234,17 @@
     void stopUnknownRuns(PoolWorker &worker);
 
     // PoolUnits.cpp: life cycle of units
+    ActiveUnit &activate(ActiveUnit unit);
+    void deactivate(const UnitId &id);
     void stop(ActiveUnit &unit, StopReason reason);
+    static void setStopping(ActiveUnit &unit, StopReason reason);
     void sendStops(ActiveUnit &unit, TimePoint now);
     static void orderStop(PoolWorker &worker, const RunName &run, const WorkerIncarnation &incarnation);
     void closeEndedUnits(TimePoint now);
     void close(const ActiveUnit &unit, TimePoint now);
     void suspect(PoolWorker &worker, const char *reason, TimePoint now);
     bool wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const;
+    void stopUnitsOnLeavingWorkers(TimePoint now);
     void recordEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
     void recordSuccess(GraphRecord &job, UnitProgress &progress);
     bool hasUnits(const std::string &job) const;
@@ -248,22 +253,34 @@
     void dropFinishedOccurrences(GraphRecord &job) const;
     void stopObsoleteUnits(TimePoint now);
     void orderStarts(ActiveUnit &unit, TimePoint now);
-    PoolWorker *findWorker(const TaskPlace &place);
     Duration pollWait() const;
     bool isSilent(const PoolWorker &worker, TimePoint now) const;
 
     // PoolPlanning.cpp: waiting units and their placement
-    void schedule(TimePoint now);
-    void addGroups(const GraphRecord &job, TimePoint now, const std::vector<std::string> &agents, std::vector<PlanGroup> &groups);
+    /// Waiting units of a job, kept until its progress changes.
+    struct WaitingUnits {
+        bool changed = true; // must be collected again
+        std::vector<Duration> criticalPaths; // by step
+        std::vector<PlanGroup> groups;
+    };
+
+    bool schedule(TimePoint now);
+    void indexWorkers();
+    void collectGroups(const GraphRecord &job, WaitingUnits &waiting, TimePoint now) const;
+    PlanGroup makeGroup(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step) const;
+    std::vector<PlanGroup> waitingGroups(const std::set<const GraphRecord *> &guaranteed, TimePoint now);
+    std::vector<PlanVictim> makeVictims(const std::set<const GraphRecord *> &guaranteed, std::vector<ActiveUnit *> &units, TimePoint now);
     bool isDue(const GraphRecord &job, std::uint32_t occurrence, TimePoint now) const;
     bool isReady(const GraphRecord &job, std::uint32_t occurrence, const StepSpec &step) const;
     bool stepSucceeded(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step) const;
     std::int64_t unixNow(TimePoint now) const;
-    Duration slackOf(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now) const;
-    std::set<std::string> guaranteedJobs() const;
-    std::vector<PlanWorker> planWorkers(const std::vector<std::string> &agents, TimePoint now) const;
+    Duration slackOf(const GraphRecord &job, const std::vector<Duration> &criticalPaths, std::uint32_t occurrence, std::uint32_t step,
+                     TimePoint now) const;
+    std::set<const GraphRecord *> guaranteedJobs() const;
+    void updatePlanWorkers(TimePoint now);
+    void addUpResources(PoolWorker &worker);
     bool isUsable(const PoolWorker &worker, TimePoint now) const;
-    void place(const PlanGroup &group, const PlannedStart &start, const std::vector<std::string> &agents, TimePoint now);
+    void place(const PlanGroup &group, const PlannedStart &start, TimePoint now);
 
     // PoolCalls.cpp: calls to agents
     void sendCalls(TimePoint now);
@@ -277,7 +294,12 @@
     Counters &m_counters;
     std::map<std::string, PoolWorker> m_workers; // by agent
     std::map<UnitId, ActiveUnit> m_units;
-    std::set<std::string> m_dirty; // jobs whose progress has yet to be written
+    std::set<UnitId> m_endedMembers; // units with a member whose end has not been evaluated yet
+    std::vector<PoolWorker *> m_workersByIndex; // as in the plans; empty when workers were added or erased
+    std::vector<PlanWorker> m_planWorkers; // by index of the worker
+    std::unordered_map<const GraphRecord *, WaitingUnits> m_waiting; // by open job
+    std::map<std::string, std::uint64_t> m_dirty; // jobs whose progress has yet to be written, with the order in which they changed
+    std::uint64_t m_dirtyOrder = 0;
     std::vector<UnitId> m_recording; // units whose start is recorded by the batch in flight
     std::map<std::string, GraphState> m_batchJobs; // jobs whose progress is written by the batch in flight, with the written state
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent: last end that the batch in flight records
@@ -292,6 +314,7 @@
     std::uint64_t m_epoch = 0;
     std::uint64_t m_nextCall = 1;
     TimePoint m_plannedAt{};
+    TimePoint m_nextErasure{};
     bool m_batchInFlight = false;
     bool m_changed = false; // events have been handled since the last step
     bool m_planDue = false; // waiting units or available resources have changed since the last plan
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -42,16 +42,33 @@
 
 } // namespace
 
-PoolWorker *PoolScheduler::findWorker(const TaskPlace &place)
+ActiveUnit &PoolScheduler::activate(ActiveUnit unit)
 {
-    const auto found = m_workers.find(place.agent);
-    return found == m_workers.end() ? nullptr : &found->second;
+    const UnitId id(unit.job, unit.key);
+    ActiveUnit &active = m_units.insert_or_assign(id, std::move(unit)).first->second;
+    for (ActiveMember &member : active.members) {
+        member.worker->members.push_back({&active, &member});
+        member.worker->resourcesChanged = true;
+    }
+    return active;
+}
+
+void PoolScheduler::deactivate(const UnitId &id)
+{
+    const auto unit = m_units.find(id);
+    for (const ActiveMember &member : unit->second.members) {
+        std::erase_if(member.worker->members, [&](const PlacedMember &placed) {
+            return placed.member == &member;
+        });
+        member.worker->resourcesChanged = true;
+    }
+    m_units.erase(unit);
 }
 
 void PoolScheduler::recordSuccess(GraphRecord &job, UnitProgress &progress)
 {
     progress.succeeded = true;
-    markDirty(job.id);
+    markDirty(job);
     dropFinishedOccurrences(job);
     if (job.progress.finishedOccurrences >= occurrencesOf(job.spec)) {
         finishJob(job, GraphState::Completed);
@@ -63,7 +80,7 @@
     if (unit.stopping != StopReason::None) {
         return;
     }
-    unit.stopping = reason;
+    setStopping(unit, reason);
     if (reason == StopReason::Preempted) {
         m_counters.add(Counter::PoolPreemptions);
     }
@@ -75,6 +92,14 @@
                {"reason", std::string(stopReasonName(reason))}});
 }
 
+void PoolScheduler::setStopping(ActiveUnit &unit, StopReason reason)
+{
+    unit.stopping = reason;
+    for (const ActiveMember &member : unit.members) {
+        member.worker->resourcesChanged = true;
+    }
+}
+
 void PoolScheduler::sendStops(ActiveUnit &unit, TimePoint now)
 {
     if (now < unit.nextStop || unit.phase != UnitPhase::Started) {
@@ -82,11 +107,9 @@
     }
     unit.nextStop = now + m_timing.stopRetryInterval;
     for (const ActiveMember &member : unit.members) {
-        PoolWorker *worker = findWorker(member.place);
-        if (member.ending || worker == nullptr) {
-            continue;
+        if (!member.ending) {
+            orderStop(*member.worker, member.run, member.place.incarnation);
         }
-        orderStop(*worker, member.run, member.place.incarnation);
     }
 }
 
@@ -99,34 +122,40 @@
     worker.orders.push_back(std::move(order));
 }
 
+void PoolScheduler::stopUnitsOnLeavingWorkers(TimePoint now)
+{
+    for (const auto &[agent, worker] : m_workers) {
+        if (!worker.known || !worker.status.worker.draining) {
+            continue;
+        }
+        for (const PlacedMember &placed : worker.members) {
+            ActiveUnit &unit = *placed.unit;
+            const GraphRecord &job = *unit.record;
+            if (unit.phase != UnitPhase::Started || job.cancelled || job.progress.state == GraphState::Failed) {
+                continue;
+            }
+            // A task that would not complete before the worker exits restarts elsewhere at once. Stopping 1 s early leaves time for a
+            // last checkpoint.
+            constexpr Duration checkpointMargin = fromMilliseconds(1000);
+            const StepSpec &step = unit.spec();
+            const Duration left = step.estimate - (now - unit.startedAt);
+            if (step.longRunning
+                || left > worker.status.worker.minTimeUntilExit - (step.checkpoints ? checkpointMargin : Duration::zero())) {
+                stop(unit, StopReason::WorkerLeaves);
+            }
+        }
+    }
+}
+
 void PoolScheduler::stopObsoleteUnits(TimePoint now)
 {
+    stopUnitsOnLeavingWorkers(now);
     for (auto &[id, unit] : m_units) {
-        const GraphRecord *job = m_jobs.find(unit.job);
-        BANYANLOCK_ASSERT(job != nullptr);
-        if (job->cancelled) {
+        if (unit.record->cancelled) {
             stop(unit, StopReason::Cancelled);
-        } else if (job->progress.state == GraphState::Failed) {
+        } else if (unit.record->progress.state == GraphState::Failed) {
             stop(unit, StopReason::JobFailed);
         }
-        if (unit.stopping == StopReason::None && unit.phase == UnitPhase::Started) {
-            const StepSpec &step = job->spec.steps[unit.key.step];
-            for (const ActiveMember &member : unit.members) {
-                const PoolWorker *worker = findWorker(member.place);
-                if (worker == nullptr || !worker->known || !worker->status.worker.draining) {
-                    continue;
-                }
-                // A task that would not complete before the worker exits restarts elsewhere at once. Stopping 1 s early leaves time for a
-                // last checkpoint.
-                constexpr Duration checkpointMargin = fromMilliseconds(1000);
-                const Duration left = step.estimate - (now - unit.startedAt);
-                if (step.longRunning
-                    || left > worker->status.worker.minTimeUntilExit - (step.checkpoints ? checkpointMargin : Duration::zero())) {
-                    stop(unit, StopReason::WorkerLeaves);
-                    break;
-                }
-            }
-        }
         if (unit.stopping != StopReason::None) {
             sendStops(unit, now);
         }
@@ -135,17 +164,15 @@
 
 void PoolScheduler::orderStarts(ActiveUnit &unit, TimePoint now)
 {
-    const GraphRecord *job = m_jobs.find(unit.job);
-    BANYANLOCK_ASSERT(job != nullptr);
+    const GraphRecord *job = unit.record;
     if (job->cancelled) {
         stop(unit, StopReason::Cancelled);
     }
     for (ActiveMember &member : unit.members) {
-        PoolWorker *worker = findWorker(member.place);
-        BANYANLOCK_ASSERT(worker != nullptr);
+        PoolWorker *worker = member.worker;
         member.startExpiredAt = now + m_timing.startExpiry;
         if (unit.stopping != StopReason::None || worker->status.worker.incarnation != member.place.incarnation) {
-            member.ending = RunEnding::NeverStarted;
+            endMember(unit, member, RunEnding::NeverStarted);
             continue;
         }
         TaskOrder order;
@@ -164,10 +191,13 @@
 void PoolScheduler::closeEndedUnits(TimePoint now)
 {
     std::vector<UnitId> ended;
-    for (auto &[id, unit] : m_units) {
-        if (unit.phase != UnitPhase::Started) {
+    for (const UnitId &id : std::exchange(m_endedMembers, {})) {
+        const auto found = m_units.find(id);
+        if (found == m_units.end()) {
             continue;
         }
+        ActiveUnit &unit = found->second;
+        BANYANLOCK_ASSERT(unit.phase == UnitPhase::Started);
         const bool succeeded = std::ranges::any_of(unit.members, [](const ActiveMember &member) {
             return member.ending == RunEnding::Succeeded;
         });
@@ -176,21 +206,20 @@
         } else if (succeeded && unit.stopping != StopReason::AlreadyDone) {
             // The members of a gang succeed together, so one success counts for all. The other members hold their resources until their
             // ends are reported.
-            unit.stopping = StopReason::AlreadyDone;
+            setStopping(unit, StopReason::AlreadyDone);
             unit.nextStop = now + m_timing.stopRetryInterval;
-            GraphRecord *job = m_jobs.find(unit.job);
-            const auto progress = job->progress.units.find(unit.key);
-            if (progress != job->progress.units.end() && !progress->second.succeeded) {
-                recordSuccess(*job, progress->second);
+            const auto progress = unit.record->progress.units.find(unit.key);
+            if (progress != unit.record->progress.units.end() && !progress->second.succeeded) {
+                recordSuccess(*unit.record, progress->second);
             }
         }
     }
     for (const UnitId &id : ended) {
-        const ActiveUnit unit = std::move(m_units.at(id));
-        m_units.erase(id);
+        const ActiveUnit unit = m_units.at(id);
+        deactivate(id);
         close(unit, now);
     }
-    for (const std::string &id : std::set<std::string>(m_jobs.open())) {
+    for (const std::string &id : std::set<std::string>(m_jobs.cancelledOpen())) {
         GraphRecord *job = m_jobs.find(id);
         if (job != nullptr && job->cancelled && !hasUnits(id) && !hasEnded(job->progress.state)) {
             finishJob(*job, GraphState::Cancelled);
@@ -209,7 +238,7 @@
 
 bool PoolScheduler::wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const
 {
-    const StepSpec &step = std::as_const(m_jobs).find(unit.job)->spec.steps[unit.key.step];
+    const StepSpec &step = unit.spec();
     const bool farFromData = !step.homeRack.empty() && step.homeRack != rackOf(worker.status.worker);
     if (unit.members.size() > 1 || farFromData || step.longRunning || step.estimate == Duration::zero()) {
         return false; // a slow member slows down its whole gang, so the gang's run time does not identify the slow worker
@@ -224,8 +253,8 @@
             continue;
         }
         m_counters.add(counterOf(*member.ending));
-        PoolWorker *worker = findWorker(member.place);
-        if (worker == nullptr || worker->status.worker.incarnation != member.place.incarnation) {
+        PoolWorker *worker = member.worker;
+        if (worker->status.worker.incarnation != member.place.incarnation) {
             continue;
         }
         if (*member.ending == RunEnding::Succeeded) {
@@ -260,8 +289,7 @@
 
 void PoolScheduler::close(const ActiveUnit &unit, TimePoint now)
 {
-    GraphRecord *job = m_jobs.find(unit.job);
-    BANYANLOCK_ASSERT(job != nullptr);
+    GraphRecord *job = unit.record;
     const auto endedAs = [&](RunEnding ending) {
         return std::ranges::any_of(unit.members, [&](const ActiveMember &member) {
             return member.ending == ending;
@@ -274,8 +302,8 @@
         outcome = RunEnding::Failed;
     }
     recordEndings(unit, outcome, now);
-    const StepSpec &step = job->spec.steps[unit.key.step];
-    markDirty(unit.job);
+    const StepSpec &step = unit.spec();
+    markDirty(*job);
     if (hasEnded(job->progress.state)) {
         closeIfIdle(*job);
     }
@@ -335,7 +363,8 @@
 void PoolScheduler::finishJob(GraphRecord &job, GraphState state)
 {
     job.progress.state = state;
-    markDirty(job.id);
+    markDirty(job);
+    m_waiting.erase(&job);
     closeIfIdle(job);
     if (state == GraphState::Completed) {
         m_counters.add(Counter::PoolJobsCompleted);
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -9,6 +9,15 @@
 namespace banyanlock
 {
 
+struct ActiveMember;
+struct ActiveUnit;
+
+/// A member of a unit on a worker. Both stay where they are until the unit is closed.
+struct PlacedMember {
+    ActiveUnit *unit = nullptr; ///< The unit.
+    ActiveMember *member = nullptr; ///< Its member.
+};
+
 /// The pool owner's view of an agent and its worker.
 struct PoolWorker {
     std::string agent; ///< RPC address of the agent.
@@ -29,6 +38,10 @@
     std::uint32_t consecutiveFailures = 0; ///< Failed tasks since the last successful one.
     TimePoint suspectedUntil{}; ///< Other workers are preferred until this time.
     TimePoint quarantinedUntil{}; ///< No task is placed on the worker until this time.
+    std::vector<PlacedMember> members; ///< Members of active units that are placed on the worker.
+    std::uint32_t index = 0; ///< Index of the worker in plans.
+    bool resourcesChanged = true; ///< Its resources must be added up again before the next plan.
+    bool runsUnknownTask = false; ///< It reports a run whose resource demand is unknown; as of the last time its resources were added up.
 
     /// @param now Current time.
     /// @return Lower bound of the agent's clock.
