--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -280,10 +280,22 @@
 std::vector<std::string> PoolScheduler::chooseDirtyJobs() const
 {
     std::vector<std::string> chosen;
-    for (const auto &[id, order] : m_dirty) {
-        if (chosen.size() < maxJobsInBatch) {
+    if (m_dirty.size() <= maxJobsInBatch) {
+        for (const auto &[id, order] : m_dirty) {
             chosen.push_back(id);
         }
+        return chosen;
+    }
+    // Under a backlog urgent jobs go first, then those that have waited longest.
+    std::vector<std::tuple<std::uint32_t, std::uint64_t, const std::string *>> ranked;
+    for (const auto &[id, order] : m_dirty) {
+        const GraphRecord *job = std::as_const(m_jobs).find(id);
+        BANYANLOCK_ASSERT(job != nullptr);
+        ranked.emplace_back(job->terms.priority, order, &id);
+    }
+    std::ranges::partial_sort(ranked, ranked.begin() + maxJobsInBatch);
+    for (std::size_t index = 0; index < maxJobsInBatch; ++index) {
+        chosen.push_back(*std::get<2>(ranked[index]));
     }
     return chosen;
 }
@@ -336,12 +348,25 @@
         BANYANLOCK_ASSERT(job != nullptr);
         markDirty(*job);
     }
+    // The next batch records the placements that the changed rows still allow.
     for (const UnitId &id : std::exchange(m_recording, {})) {
-        withdraw(id);
+        ActiveUnit &unit = m_units.at(id);
+        if (isStillAllowed(unit)) {
+            unit.phase = UnitPhase::Planned;
+        } else {
+            withdraw(id);
+        }
     }
     requestPlan();
 }
 
+bool PoolScheduler::isStillAllowed(const ActiveUnit &unit) const
+{
+    return !unit.record->cancelled && std::ranges::none_of(unit.members, [&](const ActiveMember &member) {
+        return m_operators.outDomains.contains(member.worker->status.worker.failureDomain);
+    });
+}
+
 void PoolScheduler::withdraw(const UnitId &id)
 {
     UnitProgress &progress = m_units.at(id).record->progress.units[id.second];
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -213,6 +213,7 @@
     void restoreRunningUnits(TimePoint now);
     void markDirty(const GraphRecord &job);
     std::vector<std::string> chooseDirtyJobs() const;
+    bool isStillAllowed(const ActiveUnit &unit) const;
     void withdraw(const UnitId &id);
     void addErasures(PoolBatch &batch, TimePoint now);
     void removeErased();
--- /dev/null
+++ b/tests/pool/PoolSchedulerTest.cpp
@@ -0,0 +1,224 @@
+#include "pool/PoolScheduler.h"
+#include "graph/GraphCodec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <cstddef>
+#include <map>
+#include <string>
+
+namespace banyanlock
+{
+namespace
+{
+
+constexpr std::int64_t unixOrigin = 1'700'000'000'000;
+constexpr std::size_t maxTransactionEntries = 100; // of the table service
+constexpr std::size_t ownerRowEntries = 2; // the host daemon checks and writes the owner row
+
+/// An owner with workers of eight accelerators, driven event by event.
+struct Fixture {
+    TimePoint now{std::chrono::seconds(1000)};
+    Counters counters;
+    GraphTable jobs;
+    OperatorView operators;
+    PoolScheduler scheduler{jobs, operators, {"operators", "configuration", "out/"}, PoolTiming(), PlannerPolicy(), counters};
+    std::map<std::string, WorkerStatus> statuses;
+    std::uint64_t version = 1;
+
+    explicit Fixture(std::size_t workers = 6)
+    {
+        operators.configurationRowVersion = 1;
+        for (std::size_t index = 0; index < workers; ++index) {
+            WorkerStatus status;
+            status.agentIncarnation = 1;
+            status.number = 1;
+            status.highestEpoch = 1;
+            status.runsKnown = true;
+            status.runsKnownEpoch = 1;
+            status.answering = true;
+            status.worker.incarnation = {"worker-" + std::to_string(index), unixOrigin};
+            status.worker.service = "service";
+            status.worker.failureDomain = "domain-" + std::to_string(index % 3);
+            status.worker.capacity = {128000, 524288, 8};
+            status.worker.labels = {"kind", "rack"};
+            statuses["10.0.0." + std::to_string(index + 1) + ":7000"] = status;
+        }
+        scheduler.acquireOwnership(1, true, now);
+        for (const auto &[agent, status] : statuses) {
+            scheduler.addAgent(agent);
+        }
+        step();
+        for (const CallAgent &call : scheduler.takeCalls()) {
+            WorkerStatus status = statuses.at(call.agent);
+            status.clock = now;
+            scheduler.onCallAnswered(call.agent, call.call, &status, now, now);
+        }
+    }
+
+    void step()
+    {
+        scheduler.step(now, unixOrigin + toMilliseconds(now.time_since_epoch()));
+    }
+
+    /// Adds an accepted job of independent tasks with one accelerator each.
+    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t priority = 1, GraphState state = GraphState::Queued)
+    {
+        GraphRecord record;
+        record.spec.payload = "work";
+        StepSpec task;
+        task.tasks = tasks;
+        task.demand = {1000, 1000, 1};
+        task.estimate = fromMilliseconds(5000);
+        record.spec.steps = {task};
+        record.terms = {"queue", "workspace", "service", priority, 3, 2.0, fromMilliseconds(500)};
+        record.acceptedUnixMilliseconds = unixOrigin;
+        GraphProgress progress;
+        progress.state = state;
+        adopt(PoolRows::keyOf(PoolRows::specPrefix, id), encodeGraphSpec(record));
+        adopt(PoolRows::keyOf(PoolRows::progressPrefix, id), encodeGraphProgress(progress));
+        scheduler.onRows();
+    }
+
+    void adopt(const std::string &key, const std::optional<std::string> &value)
+    {
+        jobs.adopt({std::string(PoolRows::table), key, ++version, value.value_or(""), !value}, true);
+    }
+
+    /// @return The newly taken batch.
+    PoolBatch takeBatch()
+    {
+        std::optional<PoolBatch> batch = scheduler.takeBatch(now);
+        BOOST_REQUIRE(batch.has_value());
+        return *batch;
+    }
+
+    /// @return Places of the tasks of a job, by the row that a batch writes.
+    static std::vector<std::string> placesIn(const PoolBatch &batch, const std::string &job)
+    {
+        std::vector<std::string> places;
+        for (const RowWrite &write : batch.writes) {
+            if (write.key == PoolRows::keyOf(PoolRows::progressPrefix, job)) {
+                const std::optional<GraphProgress> progress = decodeGraphProgress(write.value.value_or(""));
+                BOOST_REQUIRE(progress.has_value());
+                for (const auto &[key, unit] : progress->units) {
+                    for (const TaskPlace &place : unit.places) {
+                        places.push_back(place.agent + "#" + std::to_string(unit.run));
+                    }
+                }
+            }
+        }
+        return places;
+    }
+
+    static std::vector<std::string> jobsIn(const PoolBatch &batch)
+    {
+        std::vector<std::string> ids;
+        for (const RowWrite &write : batch.writes) {
+            if (const auto id = PoolRows::nameIn(write.key, PoolRows::progressPrefix); id && write.value) {
+                ids.push_back(*id);
+            }
+        }
+        return ids;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(PoolSchedulerEvents)
+
+BOOST_FIXTURE_TEST_CASE(changeOfTheConfigurationWithdrawsNoPlacement, Fixture)
+{
+    addJob("job1", 4);
+    step();
+    const std::vector<std::string> places = placesIn(takeBatch(), "job1");
+    BOOST_REQUIRE(places.size() == 4U);
+    operators.configurationRowVersion = 2;
+    scheduler.onConflict();
+    BOOST_TEST(scheduler.units().size() == 4U);
+    const PoolBatch retry = takeBatch();
+    BOOST_TEST(placesIn(retry, "job1") == places, boost::test_tools::per_element());
+    const bool checksNewVersion = std::ranges::any_of(retry.checks, [](const RowCheck &check) {
+        return check.key == "configuration" && check.version == 2;
+    });
+    BOOST_TEST(checksNewVersion);
+}
+
+BOOST_FIXTURE_TEST_CASE(failureDomainThatGoesOutWithdrawsOnlyItsPlacements, Fixture)
+{
+    addJob("job1", 48); // fills the pool
+    step();
+    BOOST_REQUIRE(placesIn(takeBatch(), "job1").size() == 48U);
+    operators.outDomains.insert("domain-1");
+    scheduler.onConflict();
+    BOOST_TEST(scheduler.units().size() == 32U);
+    for (const std::string &place : placesIn(takeBatch(), "job1")) {
+        BOOST_TEST(!place.starts_with("10.0.0.2:"));
+        BOOST_TEST(!place.starts_with("10.0.0.5:"));
+    }
+}
+
+BOOST_FIXTURE_TEST_CASE(cancelledJobIsWithdrawnAndOthersAreNot, Fixture)
+{
+    addJob("job1", 4);
+    addJob("job2", 4);
+    step();
+    const std::vector<std::string> places = placesIn(takeBatch(), "job2");
+    adopt(PoolRows::keyOf(PoolRows::cancelPrefix, "job1"), "{}");
+    scheduler.onConflict();
+    BOOST_TEST(scheduler.units().size() == 4U);
+    const PoolBatch retry = takeBatch();
+    BOOST_TEST(placesIn(retry, "job1").empty());
+    BOOST_TEST(placesIn(retry, "job2") == places, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(batchFitsIntoATransaction)
+{
+    Fixture pool(12);
+    constexpr int count = 60;
+    for (int job = 0; job < count; ++job) {
+        pool.addJob("ended" + std::to_string(job), 1, 1, GraphState::Completed);
+    }
+    pool.scheduler.takeBatch(pool.now); // notices the ended jobs
+    pool.now += PoolTiming().retentionPeriod + fromMilliseconds(1000);
+    for (int job = 0; job < count; ++job) {
+        pool.addJob("job" + std::to_string(job), 1);
+    }
+    for (auto &[agent, status] : pool.statuses) {
+        pool.scheduler.onCallAnswered(agent, 0, &status, pool.now, pool.now);
+    }
+    pool.step();
+    const PoolBatch batch = pool.takeBatch();
+    BOOST_TEST(Fixture::jobsIn(batch).size() > 30U);
+    BOOST_TEST(batch.writes.size() + batch.checks.size() + ownerRowEntries <= maxTransactionEntries);
+}
+
+BOOST_AUTO_TEST_CASE(urgentJobsAreRecordedFirstUnderABacklog)
+{
+    Fixture pool(12);
+    constexpr int bulk = 60;
+    for (int job = 0; job < bulk; ++job) {
+        pool.addJob("bulk" + std::to_string(job), 1, 2);
+    }
+    pool.addJob("urgent", 1, 0); // after the others by its id
+    pool.step();
+    const std::vector<std::string> first = Fixture::jobsIn(pool.takeBatch());
+    BOOST_TEST((std::ranges::find(first, "urgent") != first.end()));
+    BOOST_TEST(first.size() < static_cast<std::size_t>(bulk));
+}
+
+BOOST_FIXTURE_TEST_CASE(jobWhoseSpecificationAnotherWriterErasesRunsOn, Fixture)
+{
+    addJob("job1", 4);
+    step();
+    takeBatch();
+    scheduler.onCommitted(now);
+    adopt(PoolRows::keyOf(PoolRows::specPrefix, "job1"), std::nullopt);
+    scheduler.onRows();
+    step();
+    BOOST_TEST(scheduler.units().size() == 4U);
+    BOOST_TEST((jobs.find("job1") != nullptr));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+} // namespace banyanlock
