Keep a job that runs when another writer erases its specification

Seen by reading: the owner dropped the job while its units ran, and looked it up by a null pointer (an assert in test builds, the end of the process in others). The owner now logs the row and keeps an open job. jobWhoseSpecificationAnotherWriterErasesRunsOn aborted before.

--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -74,6 +74,10 @@
         if (!isSpec) {
             return {};
         }
+        if (ownsProgress && m_open.contains(*id)) {
+            reportUnreadable(row, "erased by another writer although the job has not ended");
+            return {};
+        }
         const bool known = m_records.contains(*id);
         erase(*id);
         return known ? *id : std::string();
