--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -126,7 +126,7 @@
     if (m_dirty.empty() && !m_batchInFlight) {
         worker.recordedEnd = worker.processedEnd; // the ends changed nothing that needs to be written
     }
-    stopUnknownRuns(worker);
+    stopUnknownRuns(worker, now);
 }
 
 bool PoolScheduler::belongsToActiveUnit(const RunName &run) const
@@ -339,8 +339,11 @@
     }
 }
 
-void PoolScheduler::stopUnknownRuns(PoolWorker &worker)
+void PoolScheduler::stopUnknownRuns(PoolWorker &worker, TimePoint now)
 {
+    std::erase_if(worker.unknownRunStops, [&](const auto &entry) {
+        return std::ranges::find(worker.status.runs, entry.first, &RunReport::run) == worker.status.runs.end();
+    });
     for (const RunReport &report : worker.status.runs) {
         const bool ordered = std::ranges::any_of(worker.orders, [&](const TaskOrder &order) {
             return order.run == report.run;
@@ -348,6 +351,12 @@
         if (ordered || isExpectedOn(worker, report.run)) {
             continue;
         }
+        // Each order makes the agent answer, so a run that can't be stopped must not be stopped again with each answer.
+        const auto [stopped, isNew] = worker.unknownRunStops.try_emplace(report.run, now);
+        if (!isNew && now - stopped->second < m_timing.stopRetryInterval) {
+            continue;
+        }
+        stopped->second = now;
         Log::warning("unknown_run_stopped", {{"run", describe(report.run)}, {"agent", worker.agent}});
         orderStop(worker, report.run, worker.status.worker.incarnation);
     }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -239,7 +239,7 @@
     bool belongsToActiveUnit(const RunName &run) const;
     void updateProcessedEnds(PoolWorker &worker);
     void applyLateSuccesses(const PoolWorker &worker);
-    void stopUnknownRuns(PoolWorker &worker);
+    void stopUnknownRuns(PoolWorker &worker, TimePoint now);
 
     // PoolUnits.cpp: life cycle of units
     ActiveUnit &activate(ActiveUnit unit);
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -3,6 +3,7 @@
 #include "pool/WorkerStatus.h"
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,7 @@
     std::uint32_t consecutiveFailures = 0; ///< Failed tasks since the last successful one.
     TimePoint suspectedUntil{}; ///< Other workers are preferred until this time.
     TimePoint quarantinedUntil{}; ///< No task is placed on the worker until this time.
+    std::map<RunName, TimePoint> unknownRunStops; ///< Runs on it that nobody expects, with the time of the latest stop that was ordered.
     std::vector<PlacedMember> members; ///< Members of active units that are placed on the worker.
     std::uint32_t index = 0; ///< Index of the worker in plans.
     bool resourcesChanged = true; ///< Its resources must be added up again before the next plan.
--- a/tests/pool/PoolSchedulerTest.cpp
+++ b/tests/pool/PoolSchedulerTest.cpp
@@ -206,6 +206,29 @@
     BOOST_TEST(first.size() < static_cast<std::size_t>(bulk));
 }
 
+BOOST_FIXTURE_TEST_CASE(unexpectedRunIsStoppedAgainOnlyAfterAPause, Fixture)
+{
+    constexpr Duration answerInterval = fromMilliseconds(60);
+    addJob("job1", 1);
+    const std::string agent = statuses.begin()->first;
+    WorkerStatus &status = statuses.begin()->second;
+    status.runs = {{{{"job1", 0, 0, 0}, 7}, false, {}}}; // of an earlier run that nobody waits for
+    std::size_t stops = 0;
+    constexpr int answers = 20;
+    for (int answer = 0; answer < answers; ++answer) {
+        now += answerInterval;
+        ++status.number;
+        status.clock = now;
+        scheduler.onCallAnswered(agent, 0, &status, now, now);
+        step();
+        for (const CallAgent &call : scheduler.takeCalls()) {
+            stops += call.agent == agent ? call.request.orders.size() : 0;
+        }
+    }
+    BOOST_TEST(stops >= 2U);
+    BOOST_TEST(stops <= 1 + static_cast<std::size_t>(answers * answerInterval / PoolTiming().stopRetryInterval));
+}
+
 BOOST_FIXTURE_TEST_CASE(jobWhoseSpecificationAnotherWriterErasesRunsOn, Fixture)
 {
     addJob("job1", 4);
