Measure how far the owner is behind, and refuse what it can't serve in time

Change: the time that agents' answers wait at the owner is measured, exported (banyanlock_pool_owner_lag_seconds, _step_seconds) and written to the owner's row. An entry refuses a submission at once, as not run and with a Retry-After of the lag, if the result would come later than three times the job's objective; jobs with more time are accepted. Steps take a fifth of the owner's time at most, so renewals, ends and transactions are not held up by placing on a slow instance.

--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -95,6 +95,7 @@
     PoolRefusedKey,
     PoolRefusedQueue,
     PoolRefusedMalformed,
+    PoolRefusedOwnerBehind,
     PoolUnsettled,
     PoolRunsRecorded,
     PoolRunsSucceeded,
--- a/src/core/Latencies.cpp
+++ b/src/core/Latencies.cpp
@@ -9,8 +9,9 @@
 namespace
 {
 
-constexpr std::array<const char *, 3> latencyNames{"banyanlock_pool_call_seconds", "banyanlock_pool_owner_transaction_seconds",
-                                                   "banyanlock_pool_agent_call_seconds"};
+constexpr std::array<const char *, 5> latencyNames{"banyanlock_pool_call_seconds", "banyanlock_pool_owner_transaction_seconds",
+                                                   "banyanlock_pool_agent_call_seconds", "banyanlock_pool_owner_lag_seconds",
+                                                   "banyanlock_pool_owner_step_seconds"};
 
 using Axis = boost::histogram::axis::variable<double>;
 using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
--- a/src/core/Latencies.h
+++ b/src/core/Latencies.h
@@ -14,6 +14,8 @@
     Call, ///< A call from a caller, from its arrival to the answer.
     OwnerTransaction, ///< A table service transaction of the pool's owner.
     AgentCall, ///< A call from the pool's owner to an agent, including the agent's wait for changes.
+    OwnerLag, ///< Time that an agent's answer waits at the pool's owner until it is handled.
+    OwnerStep, ///< A step of the pool's owner: placing, stopping and preparing calls.
 };
 
 /// Latency histograms of one process. Not thread-safe.
--- a/src/pool/OwnerRow.cpp
+++ b/src/pool/OwnerRow.cpp
@@ -9,6 +9,7 @@
 {
 
 constexpr std::int64_t maxRenewalMilliseconds = 60'000; // fifty times the longest interval; others would wait for it before a takeover
+constexpr std::int64_t maxLagMilliseconds = 60'000; // an owner that is further behind has lost the pool
 
 } // namespace
 
@@ -21,6 +22,7 @@
                           {"renewal_ms", row.renewalMilliseconds},
                           {"beat", row.writeNumber},
                           {"processors", row.processors},
+                          {"lag_ms", row.lagMilliseconds},
                           {"successor", row.successor}}
         .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
@@ -37,6 +39,7 @@
         row.renewalMilliseconds = readMeasure(json, "renewal_ms", 0, 0, maxRenewalMilliseconds);
         row.writeNumber = readWhole<std::uint64_t>(json.at("beat"), "beat");
         row.processors = readMeasure(json, "processors", 0, 0, InputLimits::resource); // earlier versions do not write it
+        row.lagMilliseconds = readMeasure(json, "lag_ms", 0, 0, maxLagMilliseconds);
         if (const auto successor = json.find("successor"); successor != json.end()) {
             row.successor = successor->get<std::string>();
         }
--- a/src/pool/OwnerRow.h
+++ b/src/pool/OwnerRow.h
@@ -17,6 +17,7 @@
     std::int64_t renewalMilliseconds = 0; ///< Maximum interval between the owner's writes while the table service responds normally.
     std::uint64_t writeNumber = 0; ///< Number of the owner's transaction; distinguishes its own writes.
     std::int64_t processors = 0; ///< Processor time of the latest owner, in thousandths of a core; zero if unknown.
+    std::int64_t lagMilliseconds = 0; ///< How far the owner is behind with its work.
     std::string successor; ///< Entry that a released pool is handed over to; empty for any.
 
     /// Compares all fields.
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -1,8 +1,8 @@
 // PoolScheduler: waiting units and their placement.
 
 #include "core/Assert.h"
-#include "core/InputLimits.h"
 #include "core/Log.h"
+#include "pool/OwnerLag.h"
 #include "pool/PoolScheduler.h"
 
 #include <algorithm>
@@ -10,24 +10,6 @@
 
 namespace banyanlock
 {
-namespace
-{
-
-/// @return For each step, the length of the critical path from its start, as the sum of declared run times.
-std::vector<Duration> criticalPathsOf(const GraphSpec &spec)
-{
-    std::vector<Duration> path(spec.steps.size(), Duration::zero());
-    for (std::size_t back = spec.steps.size(); back-- > 0;) {
-        path[back] += spec.steps[back].estimate;
-        for (const std::uint32_t earlier : spec.steps[back].after) {
-            path[earlier] = std::max(path[earlier], path[back]);
-        }
-    }
-    return path;
-}
-
-} // namespace
-
 std::int64_t PoolScheduler::unixNow(TimePoint now) const
 {
     return m_unixOffset + toMilliseconds(now.time_since_epoch());
@@ -59,18 +41,15 @@
     });
 }
 
-Duration PoolScheduler::slackOf(const GraphRecord &job, const std::vector<Duration> &criticalPaths, std::uint32_t occurrence,
-                                std::uint32_t step, TimePoint now) const
+Duration PoolScheduler::slackOf(const GraphRecord &job, const WaitingUnits &waiting, std::uint32_t occurrence, std::uint32_t step,
+                                TimePoint now) const
 {
     const Repetition &repetition = job.spec.repetition;
     const std::int64_t begin = repetition.count == 0
         ? job.acceptedUnixMilliseconds
         : repetition.firstUnixMilliseconds + repetition.intervalMilliseconds * static_cast<std::int64_t>(occurrence);
     const Duration age = fromMilliseconds(unixNow(now) - begin);
-    const Duration longest = *std::ranges::max_element(criticalPaths);
-    const double allowed = job.terms.slackFactor * static_cast<double>(longest.count());
-    const double maxAllowed = static_cast<double>(InputLimits::span.count()); // an upper bound that fits into a span
-    return Duration(static_cast<std::int64_t>(std::min(allowed, maxAllowed))) + job.terms.targetLatency - age - criticalPaths[step];
+    return waiting.objective - age - waiting.criticalPaths[step];
 }
 
 std::set<const GraphRecord *> PoolScheduler::guaranteedJobs() const
@@ -205,6 +184,7 @@
     waiting.changed = job.spec.repetition.count != 0; // the next occurrence becomes due without a change of progress
     if (waiting.criticalPaths.empty()) {
         waiting.criticalPaths = criticalPathsOf(job.spec);
+        waiting.objective = objectiveOf(job.spec, job.terms);
     }
     for (std::uint32_t occurrence = job.progress.finishedOccurrences; occurrence < occurrencesOf(job.spec); ++occurrence) {
         if (!isDue(job, occurrence, now)) {
@@ -236,7 +216,7 @@
         for (PlanGroup &group : waiting.groups) {
             const auto since = m_waitingSince.try_emplace({id, {group.occurrence, group.step, 0}}, now).first;
             group.waited = now - since->second;
-            group.slack = slackOf(*job, waiting.criticalPaths, group.occurrence, group.step, now);
+            group.slack = slackOf(*job, waiting, group.occurrence, group.step, now);
             group.guaranteed = guaranteed.contains(job);
             groups.push_back(group);
         }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -273,6 +273,7 @@
     struct WaitingUnits {
         bool changed = true; // must be collected again
         std::vector<Duration> criticalPaths; // by step
+        Duration objective{}; // latency objective of the job
         std::vector<PlanGroup> groups;
     };
 
@@ -286,7 +287,7 @@
     bool isReady(const GraphRecord &job, std::uint32_t occurrence, const StepSpec &step) const;
     bool stepSucceeded(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step) const;
     std::int64_t unixNow(TimePoint now) const;
-    Duration slackOf(const GraphRecord &job, const std::vector<Duration> &criticalPaths, std::uint32_t occurrence, std::uint32_t step,
+    Duration slackOf(const GraphRecord &job, const WaitingUnits &waiting, std::uint32_t occurrence, std::uint32_t step,
                      TimePoint now) const;
     std::set<const GraphRecord *> guaranteedJobs() const;
     void updatePlanWorkers(TimePoint now);
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -117,8 +117,8 @@
 
     static const char *outcomeName(CallOutcome outcome)
     {
-        static constexpr std::array<const char *, 9> names{"accepted",  "answered",  "no_such_job",       "no_such_queue", "key_refused",
-                                                           "malformed", "not_ready", "store_unavailable", "unsettled"};
+        static constexpr std::array<const char *, 10> names{"accepted",  "answered",  "no_such_job",       "no_such_queue", "key_refused",
+                                                            "malformed", "not_ready", "store_unavailable", "overloaded",    "unsettled"};
         return names[static_cast<std::size_t>(outcome)];
     }
 
@@ -186,10 +186,26 @@
         record.spec = std::move(valueOf(spec));
         record.terms
             = {queue.name, exchange->workspace, queue.service, queue.priority, queue.attemptLimit, queue.slackFactor, queue.targetLatency};
+        if (const std::optional<Duration> retryAfter = refuseForLag(record.spec, record.terms, ownerLag())) {
+            m_counters.add(Counter::PoolRefusedOwnerBehind);
+            CallAnswer refusal;
+            refusal.outcome = CallOutcome::Overloaded;
+            refusal.reason = "the pool is " + std::to_string(toMilliseconds(ownerLag())) + " ms behind";
+            refusal.retryAfter = *retryAfter;
+            answer(exchange, std::move(refusal));
+            return;
+        }
         record.acceptedUnixMilliseconds = unixMillisecondsNow();
         recordJob(exchange);
     }
 
+    Duration ownerLag() const
+    {
+        constexpr Duration maxAge
+            = fromMilliseconds(2000); // an owner that is silent for longer is replaced, and the next one is not behind
+        return m_loop.now() - m_mirror.ownerSeenAt() > maxAge ? Duration::zero() : fromMilliseconds(m_mirror.owner().lagMilliseconds);
+    }
+
     void recordJob(const ExchangePointer &exchange)
     {
         const std::string table(PoolRows::table);
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -93,6 +93,7 @@
     static constexpr Duration tickInterval = fromMilliseconds(200); // delay with which an unresponsive peer is noticed
     static constexpr Duration minStepInterval
         = fromMilliseconds(20); // batches events into one step; 1/40 of the delay that an urgent job tolerates
+    static constexpr Duration maxStepInterval = fromMilliseconds(400); // a sixth of the time in which a guaranteed job must have started
     static constexpr Duration idleCheckInterval = fromMilliseconds(100); // poll interval for open calls during a shutdown
 
     static PoolTiming makeTimes(const PoolEntrySettings &settings)
@@ -167,12 +168,18 @@
 
     void step(TimePoint now)
     {
-        if (now - m_lastStepAt >= minStepInterval) {
+        if (now - m_lastStepAt >= m_stepInterval) {
             m_lastStepAt = now;
             m_scheduler.step(now, unixMillisecondsNow());
+            // Steps take a fifth of the time at most, so that on a slow instance answers, renewals and transactions are not held up by
+            // them.
+            constexpr int pausePerStep = 4;
+            const Duration duration = EventLoop::now() - now;
+            m_latencies.record(Latency::OwnerStep, duration);
+            m_stepInterval = std::clamp(duration * (pausePerStep + 1), minStepInterval, maxStepInterval);
         } else if (!m_stepScheduled) {
             m_stepScheduled = true;
-            m_loop.timers().subscribe(m_lastStepAt + minStepInterval, [this](TimePoint) {
+            m_loop.timers().subscribe(m_lastStepAt + m_stepInterval, [this](TimePoint) {
                 m_stepScheduled = false;
             });
         }
@@ -183,7 +190,8 @@
         const std::string agent = call.agent;
         const std::uint64_t number = call.call;
         m_rpc.supervise(agent, call.request, call.timeout, [this, agent, number, now](RpcResult<WorkerStatus> result) {
-            m_loop.post([this, agent, number, now, result = std::move(result)] {
+            m_loop.post([this, agent, number, now, arrivedAt = EventLoop::now(), result = std::move(result)] {
+                m_owner.recordLag(EventLoop::now() - arrivedAt, EventLoop::now());
                 m_latencies.record(Latency::AgentCall, EventLoop::now() - now);
                 m_scheduler.onCallAnswered(agent, number, std::get_if<WorkerStatus>(&result), now, EventLoop::now());
             });
@@ -238,6 +246,7 @@
     PoolOwner<Platform> m_owner;
     PoolApi<Platform> m_api;
     TimePoint m_lastStepAt{};
+    Duration m_stepInterval = minStepInterval;
     bool m_stepScheduled = false;
     std::size_t m_openCalls = 0;
     bool m_stopping = false;
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -2,6 +2,7 @@
 
 #include "core/Latencies.h"
 #include "core/Log.h"
+#include "pool/OwnerLag.h"
 #include "poolhost/PoolMirror.h"
 
 #include <algorithm>
@@ -120,6 +121,7 @@
         row.earlierOwnersExpired = m_scheduler.earlierOwnersExpired(now);
         row.renewalMilliseconds = toMilliseconds(m_mirror.pace().renewalInterval());
         row.processors = m_identity.processors;
+        row.lagMilliseconds = toMilliseconds(m_lag.value(now));
         if (release) {
             row.owner.clear();
             row.successor = m_successor;
@@ -144,6 +146,15 @@
         return now - m_lastWrite < m_scheduler.detachedLimit();
     }
 
+    /// Records how long an answer of an agent has waited until it was handled.
+    /// @param delay The time.
+    /// @param now Current time.
+    void recordLag(Duration delay, TimePoint now)
+    {
+        m_latencies.record(Latency::OwnerLag, delay);
+        m_lag.record(delay, now);
+    }
+
     /// Releases the pool after the pending batches and does not acquire it again.
     void drain()
     {
@@ -402,6 +413,7 @@
     bool m_drainRequested = false;
     std::string m_successor; // stronger entry that the pool is being handed over to; empty for none
     TimePoint m_ownedSince{};
+    OwnerLag m_lag;
     bool m_isFollowing = false; // in contact with the table service
     TimePoint m_followingSince{};
     std::uint64_t m_followedEpoch = 0;
--- a/tests/decoders/DecoderFuzzTest.cpp
+++ b/tests/decoders/DecoderFuzzTest.cpp
@@ -265,7 +265,7 @@
         feed,
         encodeGraphSpec(record),
         encodeGraphProgress(makeProgress()),
-        encodeOwnerRow({"entry", 17, 5, true, 300, 4, 0, {}}),
+        encodeOwnerRow({"entry", 17, 5, true, 300, 4, 0, 0, {}}),
         encodeOwnerCandidate({"entry", 17, 5, 500}),
         encodeJobRecord(job),
         encodeWorkerMessage(message),
@@ -293,7 +293,7 @@
 {
     const std::string spec = encodeGraphSpec(makeRecord());
     const std::string progress = encodeGraphProgress(makeProgress());
-    const std::string ownerRow = encodeOwnerRow({"entry", 17, 1, true, 300, 4, 0, {}});
+    const std::string ownerRow = encodeOwnerRow({"entry", 17, 1, true, 300, 4, 0, 0, {}});
     const SeedRange seeds = seedRange(poolSeedCount);
     std::uint64_t open = 0;
     std::uint64_t placed = 0;
--- a/tests/pool/ForeignRowsTest.cpp
+++ b/tests/pool/ForeignRowsTest.cpp
@@ -90,12 +90,12 @@
 
 BOOST_AUTO_TEST_CASE(ownerRowWithTheHighestEpochEndsNoEntry)
 {
-    checkOwnerRow(encodeOwnerRow({"stranger", 1, highestNumber, true, 300, 1, 0, {}}));
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, highestNumber, true, 300, 1, 0, 0, {}}));
 }
 
 BOOST_AUTO_TEST_CASE(ownerRowWithAnEpochAheadOfAllAgentsLocksNobodyOut)
 {
-    checkOwnerRow(encodeOwnerRow({"stranger", 1, highestNumber / 2, true, 300, highestNumber, 0, {}}));
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, highestNumber / 2, true, 300, highestNumber, 0, 0, {}}));
 }
 
 BOOST_AUTO_TEST_CASE(candidateThatDoesNotExistLocksNobodyOut)
@@ -137,8 +137,8 @@
 
 BOOST_AUTO_TEST_CASE(ownerRowWithAnEndlessRenewalIntervalLocksNobodyOut)
 {
-    checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, 1'000'000'000'000'000, 1, 0, {}}));
-    checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, -1'000'000'000'000'000, 1, 0, {}}));
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, 1'000'000'000'000'000, 1, 0, 0, {}}));
+    checkOwnerRow(encodeOwnerRow({"stranger", 1, 2, true, -1'000'000'000'000'000, 1, 0, 0, {}}));
 }
 
 BOOST_AUTO_TEST_CASE(progressRowThatDoesNotMatchItsStepsEndsNoOwner)
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -285,6 +285,11 @@
     makeEntry(entry);
 }
 
+void PoolWorld::delayOwner(Duration delay)
+{
+    m_entries[owner()]->owner.recordLag(delay, m_now);
+}
+
 void PoolWorld::drainEntry(std::size_t entry)
 {
     m_entries[entry]->owner.drain();
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -179,6 +179,10 @@
     /// @return Index of the entry that owns the pool, or the number of entries if none does.
     std::size_t owner() const;
 
+    /// Lets the owner note that an answer of an agent has waited.
+    /// @param delay Time that it has waited.
+    void delayOwner(Duration delay);
+
     /// @return State of a job as recorded in the table service.
     GraphState stateOf(const std::string &job) const;
 
