Rate workers once for all units of a group that stop others; bench of the planner

owner_bench prints one plan beside the reference planner of the tests (release, one core, three running units a worker, half of the groups gangs). Decisions are equal (PlannerEquivalence).

--- a/bench/OwnerBench.cpp
+++ b/bench/OwnerBench.cpp
@@ -2,6 +2,7 @@
 // load has the mix of a large deployment: urgent gangs of 8, gangs of 25 on whole workers, and bulk jobs of 78 independent tasks.
 
 #include "BenchTable.h"
+#include "PlannerBench.h"
 #include "core/Random.h"
 #include "graph/GraphCodec.h"
 #include "pool/PoolScheduler.h"
@@ -358,5 +359,7 @@
                  formatNumber(static_cast<double>(measured.finished) / seconds)});
         }
     }
+    std::printf("\nOne plan:\n\n");
+    runPlannerBench(largest);
     return EXIT_SUCCESS;
 }
--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -43,8 +43,8 @@
 
 } // namespace
 
-/// Places one unit on workers whose running units may be stopped for it. Each worker is rated once and again only after its resources
-/// have changed.
+/// Places the units of one group on workers whose running units may be stopped for them. Each worker is rated once, and again only after
+/// its resources have changed.
 class PoolPlanner::StopSearch
 {
 public:
@@ -52,61 +52,109 @@
         : m_policy(policy)
         , m_group(group)
         , m_state(state)
-        , m_free(state.capacity.size())
+        , m_ratings(state.capacity.size())
         , m_stopped(state.stopped)
-        , m_scores(state.capacity.size(), noFit)
     {
     }
 
-    /// Searches one set of workers; searches do not affect each other.
+    /// Searches one set of workers for a unit; searches do not affect each other.
     /// @param workers Indexes of the workers that the unit may use.
+    /// @param maxCost Cost that the placement must stay below.
     /// @param placement Receives the workers of the unit and the victims to stop.
     /// @return Whether the unit can be placed.
-    bool findAmong(std::span<const std::uint32_t> workers, Placement &placement)
+    bool findAmong(std::span<const std::uint32_t> workers, double maxCost, Placement &placement)
     {
-        for (const std::uint32_t worker : workers) {
-            m_free[worker] = m_state.capacity.free(worker) + m_state.capacity.stopping(worker);
-            m_scores[worker] = rate(worker, placement.workers, nullptr);
-        }
         bool found = true;
         const std::uint32_t members = membersOf(m_group.group.spec());
         for (std::uint32_t member = 0; member < members && found; ++member) {
-            found = placeMember(workers, placement);
+            found = placeMember(workers, maxCost, placement);
         }
+        revert(placement);
+        return found;
+    }
+
+    /// Notes that the resources of a placement's workers and of its victims' workers have changed.
+    /// @param placement The placement.
+    void onPlaced(const Placement &placement)
+    {
         for (const std::size_t victim : placement.stops) {
-            m_stopped[victim] = false; // of this search only
+            m_stopped[victim] = true;
+            forgetWorkersOf(victim);
+        }
+        for (const std::uint32_t worker : placement.workers) {
+            m_ratings[worker].known = false;
         }
-        return found;
     }
 
 private:
-    bool placeMember(std::span<const std::uint32_t> workers, Placement &placement)
+    /// Cost of one task on a worker.
+    struct Rating {
+        bool known = false;
+        double score = noFit;
+    };
+
+    /// Resources that a unit's earlier members have taken from a worker, and that victims stopped for them have freed.
+    struct Change {
+        std::uint32_t worker = 0;
+        Resources resources;
+    };
+
+    void forgetWorkersOf(std::size_t victim)
     {
-        const auto best = std::ranges::min_element(workers, {}, [&](std::uint32_t worker) {
-            return m_scores[worker];
-        });
-        if (best == workers.end() || m_scores[*best] == noFit) {
-            return false;
+        for (const std::uint32_t worker : m_state.victims[victim].workers) {
+            m_ratings[worker].known = false;
+        }
+    }
+
+    void revert(const Placement &placement)
+    {
+        for (const std::size_t victim : placement.stops) {
+            m_stopped[victim] = false;
+        }
+        for (const Change &change : m_changes) {
+            m_ratings[change.worker].known = false;
+        }
+        m_changes.clear();
+    }
+
+    bool placeMember(std::span<const std::uint32_t> workers, double maxCost, Placement &placement)
+    {
+        double best = noFit;
+        std::uint32_t bestWorker = 0;
+        for (const std::uint32_t worker : workers) {
+            Rating &rating = m_ratings[worker];
+            if (!rating.known) {
+                rating = {true, rate(worker, placement.workers, nullptr)};
+            }
+            if (rating.score < best) {
+                best = rating.score;
+                bestWorker = worker;
+            }
+        }
+        if (best == noFit || placement.cost + best >= maxCost) {
+            return false; // each further member costs something or nothing
         }
         std::vector<std::size_t> stops;
-        placement.cost += rate(*best, placement.workers, &stops);
-        placement.workers.push_back(*best);
-        m_free[*best] -= m_group.group.spec().demand;
-        std::vector<std::uint32_t> changed{*best};
+        placement.cost += rate(bestWorker, placement.workers, &stops);
+        placement.workers.push_back(bestWorker);
+        Resources taken;
+        change(bestWorker, taken -= m_group.group.spec().demand);
         for (const std::size_t victim : stops) {
             m_stopped[victim] = true;
             placement.stops.push_back(victim);
             for (const std::uint32_t worker : m_state.victims[victim].workers) {
-                m_free[worker] += m_state.victims[victim].demand;
-                changed.push_back(worker);
+                change(worker, m_state.victims[victim].demand);
             }
         }
-        for (const std::uint32_t worker : changed) {
-            m_scores[worker] = rate(worker, placement.workers, nullptr);
-        }
         return true;
     }
 
+    void change(std::uint32_t worker, const Resources &resources)
+    {
+        m_changes.push_back({worker, resources});
+        m_ratings[worker].known = false;
+    }
+
     /// @return Cost of one task on the worker with the least expensive stops, which are optionally listed; `noFit` if it can't run there.
     double rate(std::uint32_t worker, std::span<const std::uint32_t> chosen, std::vector<std::size_t> *stops) const
     {
@@ -115,7 +163,12 @@
         if (!isEligible(m_group.group, candidate) || exceedsSpread(m_group, chosen, worker)) {
             return noFit;
         }
-        Resources left = m_free[worker];
+        Resources left = m_state.capacity.free(worker) + m_state.capacity.stopping(worker);
+        for (const Change &change : m_changes) {
+            if (change.worker == worker) {
+                left += change.resources;
+            }
+        }
         double cost = 0.0;
         for (const std::size_t victim : m_state.victimsOn[worker]) {
             if (left.fits(demand)) {
@@ -146,9 +199,9 @@
     const PlannerPolicy &m_policy;
     const GroupState &m_group;
     const PlanState &m_state;
-    std::vector<Resources> m_free; // by worker, including what becomes free soon
+    std::vector<Rating> m_ratings; // by worker
     std::vector<bool> m_stopped; // by victim
-    std::vector<double> m_scores; // by worker
+    std::vector<Change> m_changes; // by the members of the unit that is being placed
 };
 
 bool PoolPlanner::isEligible(const PlanGroup &group, const PlanWorker &worker)
@@ -300,17 +353,16 @@
     return false;
 }
 
-bool PoolPlanner::findByStopping(const GroupState &group, const PlanState &state, Placement &placement) const
+bool PoolPlanner::findByStopping(const GroupState &group, const PlanState &state, StopSearch &search, Placement &placement) const
 {
     const StepSpec &step = group.group.spec();
-    StopSearch search(m_policy, group, state);
     bool found = false;
     if (!step.homeRack.empty()) {
-        found = search.findAmong(state.capacity.workersOfRack(step.homeRack), placement);
+        found = search.findAmong(state.capacity.workersOfRack(step.homeRack), noFit, placement);
     } else if (step.gang && step.preferOneRack) {
         for (const std::vector<std::uint32_t> &rack : state.capacity.racks()) {
             Placement candidate;
-            if (search.findAmong(rack, candidate) && (!found || candidate.cost < placement.cost)) {
+            if (search.findAmong(rack, found ? placement.cost : noFit, candidate)) {
                 placement = std::move(candidate);
                 found = true;
             }
@@ -318,7 +370,7 @@
     }
     if (!found) {
         placement = {};
-        found = search.findAmong(state.capacity.usableWorkers(), placement);
+        found = search.findAmong(state.capacity.usableWorkers(), noFit, placement);
     }
     if (!found) {
         return false;
@@ -396,10 +448,14 @@
         }
         const PlanGroup &group = groups[groupIndex];
         GroupState placing{group, group.onWorker};
+        std::optional<StopSearch> search; // made for the first unit that finds no room
         for (const std::uint32_t index : group.indexes) {
             Placement placement;
             if (find(placing, state, placement)) {
                 take(placing, state, placement);
+                if (search) {
+                    search->onPlaced(placement);
+                }
                 plan.starts.push_back({groupIndex, index, std::move(placement.workers)});
                 continue;
             }
@@ -408,14 +464,18 @@
                 break; // the other units of the group are interchangeable with this one
             }
             indexVictims(state);
+            if (!search) {
+                search.emplace(m_policy, placing, state);
+            }
             Placement forced;
-            if (!findByStopping(placing, state, forced)) {
+            if (!findByStopping(placing, state, *search, forced)) {
                 break;
             }
             if (canWait(group) && !forced.stops.empty()) {
                 break; // running units may end in time without preemption
             }
             reserve(group, state, forced);
+            search->onPlaced(forced);
             plan.stops.insert(plan.stops.end(), forced.stops.begin(), forced.stops.end());
         }
     }
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -80,7 +80,7 @@
     static bool findAnywhere(const GroupState &group, PlanState &state, Placement &placement);
     static bool findInRack(const GroupState &group, const PlanState &state, std::span<const std::uint32_t> rack, Placement &placement);
     bool find(const GroupState &group, PlanState &state, Placement &placement) const;
-    bool findByStopping(const GroupState &group, const PlanState &state, Placement &placement) const;
+    bool findByStopping(const GroupState &group, const PlanState &state, StopSearch &search, Placement &placement) const;
     bool canWait(const PlanGroup &group) const;
     static void take(GroupState &group, PlanState &state, const Placement &placement);
     static void reserve(const PlanGroup &group, PlanState &state, const Placement &placement);
