--- a/tests/core/SettingsTest.cpp
+++ b/tests/core/SettingsTest.cpp
@@ -93,7 +93,9 @@
     checkReportedFault(good + "share: -0.5\n", ":3: share: -0.5 is outside 0.001 to 1 share");
     checkReportedFault(good + "share: 1.5\n", ":3: share: 1.5 is outside 0.001 to 1 share");
     for (const char *text : {"half", "nan", "inf", "1e300", "0.5x", "99999999999999999999"}) {
-        checkReportedFault(good + "share: " + text + "\n", std::string(":3: share: '") + text + "' is not a number like 0.25");
+        std::string fault = ":3: share: '";
+        fault.append(text).append("' is not a number like 0.25");
+        checkReportedFault(good + "share: " + text + "\n", fault);
     }
 }
 
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -75,7 +75,7 @@
     return record.spec;
 }
 
-PoolWorld::PoolWorld(WorldOptions options)
+PoolWorld::PoolWorld(const WorldOptions &options)
     : m_options(options)
     , m_random(options.seed)
 {
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -109,7 +109,7 @@
 class PoolWorld
 {
 public:
-    explicit PoolWorld(WorldOptions options);
+    explicit PoolWorld(const WorldOptions &options);
     ~PoolWorld();
     PoolWorld(const PoolWorld &) = delete;
     PoolWorld &operator=(const PoolWorld &) = delete;
