--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -182,7 +182,7 @@
 {
     member.ending = ending;
     member.worker->resourcesChanged = true;
-    m_endedMembers.insert({unit.job, unit.key});
+    m_unitsWithNewEnds.insert({unit.job, unit.key});
 }
 
 void PoolScheduler::updateMember(const PlacedMember &placed, const PoolWorker &worker)
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -21,7 +21,8 @@
         = 400.0; ///< Work that may be lost to avoid a suspect worker, in core-seconds; equals the work of a typical unit.
     Duration minWaitSlack
         = fromMilliseconds(900); ///< Slack up to which an urgent unit preempts without waiting; stop and start take 0.4 s.
-    std::size_t maxStarts = 400; ///< Units that one plan starts at most, so that orders do not wait for a long plan; ten transactions.
+    std::size_t maxStarts
+        = 400; ///< Starts after which a plan begins no further group, so that orders do not wait for a long plan; ten transactions.
     Duration maxPreemptionWait = fromMilliseconds(1200); ///< Maximum wait before an urgent unit preempts; a guarantee is due within 2.7 s.
 };
 
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -102,7 +102,7 @@
     m_superseded = false;
     m_placing = true;
     m_units.clear();
-    m_endedMembers.clear();
+    m_unitsWithNewEnds.clear();
     m_waiting.clear();
     for (auto &[agent, worker] : m_workers) {
         worker.members.clear();
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -47,7 +47,7 @@
     Duration retentionPeriod
         = std::chrono::minutes(10); ///< Retention of ended jobs and unreachable agents; callers poll an ended job for up to two minutes.
     Duration batchPausePerWorker = std::chrono::microseconds(500); ///< Pause after a transaction that concerned no urgent job, per worker:
-                                                                   ///< 0.12 s at 240 workers, which halves the rows written there.
+                                                                   ///< 0.12 s at 240 workers, the time of four transactions.
     Duration maxBatchPause = fromMilliseconds(200); ///< Limit of the pause; a tenth of the time that a job of low priority may lose.
     Duration maxPlanInterval
         = fromMilliseconds(500); ///< Maximum interval between plans; due times and expired waits are noticed with at most this delay.
@@ -307,7 +307,7 @@
     Counters &m_counters;
     std::map<std::string, PoolWorker> m_workers; // by agent
     std::map<UnitId, ActiveUnit> m_units;
-    std::set<UnitId> m_endedMembers; // units with a member whose end has not been evaluated yet
+    std::set<UnitId> m_unitsWithNewEnds; // units with a member whose end has not been evaluated yet
     std::vector<PoolWorker *> m_workersByIndex; // as in the plans; empty when workers were added or erased
     std::vector<PlanWorker> m_planWorkers; // by index of the worker
     std::unordered_map<const GraphRecord *, WaitingUnits> m_waiting; // by open job
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -191,7 +191,7 @@
 void PoolScheduler::closeEndedUnits(TimePoint now)
 {
     std::vector<UnitId> ended;
-    for (const UnitId &id : std::exchange(m_endedMembers, {})) {
+    for (const UnitId &id : std::exchange(m_unitsWithNewEnds, {})) {
         const auto found = m_units.find(id);
         if (found == m_units.end()) {
             continue;
