--- a/tests/pool/PoolSchedulerTest.cpp
+++ b/tests/pool/PoolSchedulerTest.cpp
@@ -60,13 +60,15 @@
         scheduler.step(now, unixOrigin + toMilliseconds(now.time_since_epoch()));
     }
 
-    /// Adds an accepted job of independent tasks with one accelerator each.
-    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t priority = 1, GraphState state = GraphState::Queued)
+    /// Adds an accepted job of tasks with one accelerator each.
+    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t priority = 1, GraphState state = GraphState::Queued,
+                bool gang = false)
     {
         GraphRecord record;
         record.spec.payload = "work";
         StepSpec task;
         task.tasks = tasks;
+        task.gang = gang;
         task.demand = {1000, 1000, 1};
         task.estimate = fromMilliseconds(5000);
         record.spec.steps = {task};
@@ -252,6 +254,21 @@
     BOOST_TEST(stops <= 1 + static_cast<std::size_t>(answers * answerInterval / PoolTiming().stopRetryInterval));
 }
 
+BOOST_FIXTURE_TEST_CASE(gangThatStartedInTimeIsNotStoppedWhenItsOwnerWasDelayed, Fixture)
+{
+    constexpr Duration delay = fromMilliseconds(1500); // of the owner's process: answers arrive, but nothing is handled
+    addJob("job1", 2, 0, GraphState::Queued, true);
+    step();
+    takeBatch();
+    scheduler.onCommitted(now);
+    step();
+    scheduler.takeCalls();
+    now += delay;
+    step(); // a timer fires before the waiting answers, which confirm both members, are handled
+    BOOST_REQUIRE(scheduler.units().size() == 1U);
+    BOOST_TEST((scheduler.units().begin()->second.stopping == StopReason::None));
+}
+
 BOOST_FIXTURE_TEST_CASE(jobWhoseSpecificationAnotherWriterErasesRunsOn, Fixture)
 {
     addJob("job1", 4);
