--- a/tests/core/SettingsTest.cpp
+++ b/tests/core/SettingsTest.cpp
@@ -83,19 +83,22 @@
 
 BOOST_AUTO_TEST_CASE(shareIsReadInThousandthsAndImpossibleOnesAreRefused)
 {
-    const std::string good = "name: a\naddress: 127.0.0.1:80\n";
+    const auto withShare = [](const std::string &share) {
+        std::string text = "name: a\naddress: 127.0.0.1:80\nshare: ";
+        return text.append(share).append("\n");
+    };
     for (const auto &[text, thousandths] : std::map<std::string, std::int64_t>{{"0.12", 120}, {"1", 1000}, {"0.0005", 1}, {"0.25", 250}}) {
-        const Result<SampleSettings> result = readText(good + "share: " + text + "\n");
+        const Result<SampleSettings> result = readText(withShare(text));
         BOOST_REQUIRE(isOk(result));
         BOOST_TEST(valueOf(result).share == thousandths, text);
     }
-    checkReportedFault(good + "share: 0\n", ":3: share: 0 is outside 0.001 to 1 share");
-    checkReportedFault(good + "share: -0.5\n", ":3: share: -0.5 is outside 0.001 to 1 share");
-    checkReportedFault(good + "share: 1.5\n", ":3: share: 1.5 is outside 0.001 to 1 share");
+    checkReportedFault(withShare("0"), ":3: share: 0 is outside 0.001 to 1 share");
+    checkReportedFault(withShare("-0.5"), ":3: share: -0.5 is outside 0.001 to 1 share");
+    checkReportedFault(withShare("1.5"), ":3: share: 1.5 is outside 0.001 to 1 share");
     for (const char *text : {"half", "nan", "inf", "1e300", "0.5x", "99999999999999999999"}) {
         std::string fault = ":3: share: '";
         fault.append(text).append("' is not a number like 0.25");
-        checkReportedFault(good + "share: " + text + "\n", fault);
+        checkReportedFault(withShare(text), fault);
     }
 }
 
