Move the latency objective of a job to the graph library

Critical paths and the objective of a job stood with the owner's lag, though they concern neither it nor the pool; the scheduler included OwnerLag.h only for them.

--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -2,7 +2,7 @@
 
 #include "core/Assert.h"
 #include "core/Log.h"
-#include "pool/OwnerLag.h"
+#include "graph/GraphObjective.h"
 #include "pool/PoolScheduler.h"
 
 #include <algorithm>
