Take an ended unit out of the owner's map instead of copying it

closeEndedUnits copied each unit with its members and then erased the original, on the path of each task's end. deactivate now returns the unit; activate returned a reference that nobody used. Behaviour is the same.

--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -246,8 +246,8 @@
     void stopUnknownRuns(PoolWorker &worker, TimePoint now);
 
     // PoolUnits.cpp: life cycle of units
-    ActiveUnit &activate(ActiveUnit unit);
-    void deactivate(const UnitId &id);
+    void activate(ActiveUnit unit);
+    ActiveUnit deactivate(const UnitId &id);
     void stop(ActiveUnit &unit, StopReason reason);
     static void setStopping(ActiveUnit &unit, StopReason reason);
     void sendStops(ActiveUnit &unit, TimePoint now);
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -42,7 +42,7 @@
 
 } // namespace
 
-ActiveUnit &PoolScheduler::activate(ActiveUnit unit)
+void PoolScheduler::activate(ActiveUnit unit)
 {
     const UnitId id(unit.job, unit.key);
     ActiveUnit &active = m_units.insert_or_assign(id, std::move(unit)).first->second;
@@ -50,19 +50,18 @@
         member.worker->members.push_back({&active, &member});
         member.worker->resourcesChanged = true;
     }
-    return active;
 }
 
-void PoolScheduler::deactivate(const UnitId &id)
+ActiveUnit PoolScheduler::deactivate(const UnitId &id)
 {
-    const auto unit = m_units.find(id);
-    for (const ActiveMember &member : unit->second.members) {
+    auto unit = m_units.extract(id);
+    for (const ActiveMember &member : unit.mapped().members) {
         std::erase_if(member.worker->members, [&](const PlacedMember &placed) {
             return placed.member == &member;
         });
         member.worker->resourcesChanged = true;
     }
-    m_units.erase(unit);
+    return std::move(unit.mapped());
 }
 
 void PoolScheduler::recordSuccess(GraphRecord &job, UnitProgress &progress)
@@ -215,9 +214,7 @@
         }
     }
     for (const UnitId &id : ended) {
-        const ActiveUnit unit = m_units.at(id);
-        deactivate(id);
-        close(unit, now);
+        close(deactivate(id), now);
     }
     for (const std::string &id : std::set<std::string>(m_jobs.cancelledOpen())) {
         GraphRecord *job = m_jobs.find(id);
