Refuse for lag by the one path that refuses calls

The refusal of a submission for the owner's lag repeated PoolApi::refuse for the sake of its own Retry-After, and asked for the lag twice. refuse takes the Retry-After now, with the default that all other refusals have. PoolApi.h includes OwnerLag.h, which it uses; before, the name was found only because the lookup came late.

--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -3,6 +3,7 @@
 #include "core/Latencies.h"
 #include "core/Log.h"
 #include "graph/GraphCodec.h"
+#include "pool/OwnerLag.h"
 #include "poolhost/PoolMirror.h"
 #include "poolhost/RepeatedCommit.h"
 
@@ -98,14 +99,15 @@
         exchange->respond(std::move(answer));
     }
 
-    void refuse(const ExchangePointer &exchange, CallOutcome outcome, const std::string &reason, Counter counter)
+    void refuse(const ExchangePointer &exchange, CallOutcome outcome, const std::string &reason, Counter counter,
+                Duration retryAfter = retryAfterOutage)
     {
         m_counters.add(counter);
         CallAnswer refusal;
         refusal.outcome = outcome;
         refusal.reason = reason;
         // After an unknown outcome the caller can ask another entry at once. A call that had no effect is retried after the outage.
-        refusal.retryAfter = outcome == CallOutcome::Unsettled ? Duration::zero() : retryAfterOutage;
+        refusal.retryAfter = outcome == CallOutcome::Unsettled ? Duration::zero() : retryAfter;
         answer(exchange, std::move(refusal));
     }
 
@@ -186,13 +188,10 @@
         record.spec = std::move(valueOf(spec));
         record.terms
             = {queue.name, exchange->workspace, queue.service, queue.priority, queue.attemptLimit, queue.slackFactor, queue.targetLatency};
-        if (const std::optional<Duration> retryAfter = refuseForLag(record.spec, record.terms, ownerLag())) {
-            m_counters.add(Counter::PoolRefusedOwnerBehind);
-            CallAnswer refusal;
-            refusal.outcome = CallOutcome::Overloaded;
-            refusal.reason = "the pool is " + std::to_string(toMilliseconds(ownerLag())) + " ms behind";
-            refusal.retryAfter = *retryAfter;
-            answer(exchange, std::move(refusal));
+        const Duration lag = ownerLag();
+        if (const std::optional<Duration> retryAfter = refuseForLag(record.spec, record.terms, lag)) {
+            const std::string reason = "the pool is " + std::to_string(toMilliseconds(lag)) + " ms behind";
+            refuse(exchange, CallOutcome::Overloaded, reason, Counter::PoolRefusedOwnerBehind, *retryAfter);
             return;
         }
         record.acceptedUnixMilliseconds = unixMillisecondsNow();
