--- a/review/standins/Play.cpp
+++ b/review/standins/Play.cpp
@@ -7,6 +7,7 @@
 #include <filesystem>
 #include <iostream>
 #include <netinet/in.h>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -25,22 +26,49 @@
 constexpr const char *host = "127.0.0.1";
 constexpr Duration lostWindow = fromMilliseconds(3000);
 
-/// @return A free port of the loopback address, below those that the system gives to outgoing connections.
+/// @param port Port to listen on.
+/// @return Descriptor of a socket that is bound to the port of the loopback address, or -1 if the port is in use.
+int bindPort(std::uint16_t port)
+{
+    const int descriptor = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    if (bind(descriptor, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0) {
+        return descriptor;
+    }
+    close(descriptor);
+    return -1;
+}
+
+/// Reserves a block of ports for this play, below the ports that the system gives to outgoing connections. The first port of the block
+/// stays bound, so that plays side by side don't choose the same block.
+/// @return The second port of the block.
+std::uint16_t reserveBlock()
+{
+    constexpr std::uint32_t first = 18'000;
+    constexpr std::uint32_t blockSize = 150;
+    constexpr std::uint32_t blocks = 80;
+    const auto start = static_cast<std::uint32_t>(getpid());
+    for (std::uint32_t index = 0; index < blocks; ++index) {
+        const std::uint32_t port = first + (start + index) % blocks * blockSize;
+        if (bindPort(static_cast<std::uint16_t>(port)) >= 0) {
+            return static_cast<std::uint16_t>(port + 1);
+        }
+    }
+    throw std::runtime_error("no free block of ports");
+}
+
+/// @return A free port of the loopback address.
 Endpoint freeEndpoint()
 {
-    constexpr std::uint16_t first = 18'000;
-    constexpr std::uint16_t count = 12'000;
-    static std::uint32_t next = static_cast<std::uint32_t>(getpid()) * 131U;
+    static std::uint16_t next = reserveBlock();
     for (;;) {
-        const auto port = static_cast<std::uint16_t>(first + next++ % count);
-        const int handle = socket(AF_INET, SOCK_STREAM, 0);
-        sockaddr_in address{};
-        address.sin_family = AF_INET;
-        address.sin_port = htons(port);
-        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        const bool bound = bind(handle, reinterpret_cast<sockaddr *>(&address), sizeof(address)) == 0;
-        close(handle);
-        if (bound) {
+        const std::uint16_t port = next++;
+        const int descriptor = bindPort(port);
+        if (descriptor >= 0) {
+            close(descriptor);
             return {host, port};
         }
     }
