Record the progress of a large job in several rows

Nothing was started any more, by any owner. Cause: the row with the places of running tasks exceeds the table service's 65,536 bytes. The service answers 400, and the owner repeats the transaction, which is also its renewal. Transactions, overlapping occurrences and specifications had no bound either. Change: progress beyond a row is written in slices, by the same transaction, and read only at one version. Batches are filled up to the bytes and entries of a transaction. Overlapping occurrences have at most 2,000 tasks together. A specification beyond a row is refused with its size. The size of a row is a setting.

--- a/src/core/TableTypes.h
+++ b/src/core/TableTypes.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,6 +39,13 @@
     std::vector<RowWrite> writes; ///< Writes.
 };
 
+/// Limits of the table service.
+struct TableLimits {
+    std::size_t rowBytes = 49152; ///< Size of a row's text: 64 KB in Base64.
+    std::size_t transactionBytes = 700'000; ///< Size of all texts of a transaction: 1 MB in Base64, with room for their keys.
+    std::size_t transactionEntries = 100; ///< Number of checks and writes of a transaction.
+};
+
 /// How a transaction ended.
 enum class CommitState : std::uint8_t {
     Committed, ///< The transaction took effect.
--- a/src/graph/GraphCodec.cpp
+++ b/src/graph/GraphCodec.cpp
@@ -6,6 +6,9 @@
 
 #include <algorithm>
 #include <array>
+#include <charconv>
+#include <string_view>
+#include <system_error>
 
 namespace banyanlock
 {
@@ -14,12 +17,16 @@
 
 using Json = nlohmann::json;
 
-// Larger jobs would exceed the size limit of a row of the table service.
-constexpr std::uint32_t maxTasks = 2000;
 constexpr std::size_t maxSteps = 64;
 constexpr std::size_t maxPayloadBytes = 4000;
 constexpr std::uint32_t maxOccurrences = 10000;
 
+// Above the number of entries of a transaction, so above what can be written at once.
+constexpr std::uint32_t maxContinuations = 100;
+
+// The encoder writes the keys in alphabetical order, so the units come last.
+constexpr std::string_view unitsKey = ",\"units\":";
+
 constexpr std::array<const char *, 5> stateNames{"queued", "running", "completed", "failed", "cancelled"};
 
 Json stepToJson(const StepSpec &step)
@@ -119,8 +126,8 @@
 std::string checkStep(const StepSpec &step, std::size_t index)
 {
     const std::string name = "step " + std::to_string(index) + ": ";
-    if (step.tasks == 0 || step.tasks > maxTasks) {
-        return name + "number of tasks must be 1 to " + std::to_string(maxTasks);
+    if (step.tasks == 0 || step.tasks > maxTasksOfJob) {
+        return name + "number of tasks must be 1 to " + std::to_string(maxTasksOfJob);
     }
     if (!isDemand(step.demand.processors) || !isDemand(step.demand.memory) || !isDemand(step.demand.accelerators)) {
         return name + "resource demand of a task must be 0 to " + std::to_string(InputLimits::resource);
@@ -222,11 +229,57 @@
     }
 }
 
+std::size_t ProgressRows::bytes() const
+{
+    std::size_t total = head.size();
+    for (const std::string &text : continuations) {
+        total += text.size();
+    }
+    return total;
+}
+
+ProgressRows encodeProgressRows(const GraphProgress &progress, std::size_t maxRowBytes)
+{
+    ProgressRows rows;
+    rows.head = encodeGraphProgress(progress);
+    if (rows.head.size() <= maxRowBytes) {
+        return rows;
+    }
+    const std::size_t begin = rows.head.find(unitsKey) + unitsKey.size();
+    const std::string units = rows.head.substr(begin, rows.head.size() - begin - 1); // without the closing brace
+    for (std::size_t offset = 0; offset < units.size(); offset += maxRowBytes) {
+        rows.continuations.push_back(units.substr(offset, maxRowBytes));
+    }
+    rows.head = rows.head.substr(0, begin) + std::to_string(rows.continuations.size()) + "}";
+    return rows;
+}
+
+std::string joinProgressRows(const std::string &head, const std::vector<std::string> &continuations)
+{
+    std::string text = head.substr(0, head.find(unitsKey)) + std::string(unitsKey);
+    for (const std::string &continuation : continuations) {
+        text += continuation;
+    }
+    return text + "}";
+}
+
+std::uint32_t continuationCountOf(const std::string &head)
+{
+    const std::size_t units = head.find(unitsKey);
+    if (units == std::string::npos) {
+        return 0;
+    }
+    std::uint32_t count = 0;
+    const char *const begin = head.data() + units + unitsKey.size();
+    const auto [end, error] = std::from_chars(begin, head.data() + head.size(), count);
+    return error == std::errc() && count <= maxContinuations ? count : 0;
+}
+
 std::optional<GraphProgress> decodeGraphProgressHead(const std::string &text)
 {
-    // The encoder writes the keys in alphabetical order, so the units come last.
-    const std::size_t units = text.find(",\"units\":");
-    std::optional<GraphProgress> head = decodeGraphProgress(units == std::string::npos ? text : text.substr(0, units) + ",\"units\":[]}");
+    const std::size_t units = text.find(unitsKey);
+    std::optional<GraphProgress> head
+        = decodeGraphProgress(units == std::string::npos ? text : text.substr(0, units) + std::string(unitsKey) + "[]}");
     if (head) {
         head->units.clear();
     }
@@ -256,7 +309,7 @@
         }
         total += spec.steps[index].tasks;
     }
-    return total > maxTasks ? "more than " + std::to_string(maxTasks) + " tasks" : "";
+    return total > maxTasksOfJob ? "more than " + std::to_string(maxTasksOfJob) + " tasks" : "";
 }
 
 bool matches(const GraphProgress &progress, const GraphSpec &spec)
--- a/src/graph/GraphRecord.h
+++ b/src/graph/GraphRecord.h
@@ -67,13 +67,20 @@
 /// @return The name that rows and logs use.
 const char *graphStateName(GraphState state);
 
-/// Recorded progress of a job; stored in one row.
+/// Recorded progress of a job.
 struct GraphProgress {
     GraphState state = GraphState::Queued; ///< State of the job; cancellations are recorded in a separate row.
     std::uint32_t finishedOccurrences = 0; ///< Occurrences below this number have succeeded, and their units have been removed.
     std::map<UnitKey, UnitProgress> units; ///< Units that have been placed at least once.
 };
 
+/// Row that holds a part of the units of a job whose progress exceeds one row. It is valid only beside a progress row of the same version,
+/// since all rows of a job's progress are written by one transaction.
+struct ContinuationRow {
+    std::uint64_t version = 0; ///< Version of the row.
+    std::string text; ///< Text of the row.
+};
+
 /// An accepted job.
 struct GraphRecord {
     std::string id; ///< Unique id of the job.
@@ -82,6 +89,8 @@
     std::int64_t acceptedUnixMilliseconds = 0; ///< When it was accepted by the entry's clock, in milliseconds since 1970.
     GraphProgress progress; ///< Progress of the job; without its units while `encodedProgress` holds them.
     std::string encodedProgress; ///< Progress row whose units have not been decoded yet; empty if they have.
+    std::map<std::uint32_t, ContinuationRow> continuations; ///< Newest continuation rows, by number, while `encodedProgress` is set.
+    std::uint32_t continuationCount = 0; ///< Number of continuation rows that the recorded progress row names.
     GraphState recordedState = GraphState::Queued; ///< State in the progress row; the owner's in-memory progress may be newer.
     bool cancelled = false; ///< A cancellation is recorded.
     std::uint64_t specVersion = 0; ///< Version of the specification row; zero until it has been read.
--- a/src/graph/GraphSpec.h
+++ b/src/graph/GraphSpec.h
@@ -3,6 +3,7 @@
 #include "core/Time.h"
 #include "graph/Resources.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -72,4 +73,19 @@
     return step.gang ? step.tasks : 1;
 }
 
+/// Maximum number of tasks of a job, and of the tasks of its overlapping occurrences. It bounds the progress of a job, which is written by
+/// one transaction.
+inline constexpr std::uint32_t maxTasksOfJob = 2000;
+
+/// @param spec Specification of a job.
+/// @return Maximum number of its occurrences that may be in progress at the same time; at least one.
+inline std::uint32_t maxOverlapOf(const GraphSpec &spec)
+{
+    std::uint32_t tasks = 0;
+    for (const StepSpec &step : spec.steps) {
+        tasks += step.tasks;
+    }
+    return std::max(maxTasksOfJob / std::max(tasks, 1U), 1U);
+}
+
 } // namespace banyanlock
--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -17,6 +17,18 @@
     Log::warning("job_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}, {"reason", reason}});
 }
 
+/// @return Texts of the continuation rows that belong to the progress row, in order; fewer than it names if any is missing.
+std::vector<std::string> takeContinuations(GraphRecord &record)
+{
+    std::vector<std::string> texts;
+    for (auto &[number, row] : std::exchange(record.continuations, {})) {
+        if (number == texts.size() && number < record.continuationCount && row.version == record.progressVersion) {
+            texts.push_back(std::move(row.text));
+        }
+    }
+    return texts;
+}
+
 } // namespace
 
 bool GraphTable::adoptSpec(GraphRecord &record, const TableRow &row)
@@ -49,14 +61,40 @@
         return false;
     }
     record.encodedProgress = ownsProgress ? std::string() : row.value;
+    record.continuationCount = continuationCountOf(row.value);
+    std::erase_if(record.continuations, [&](const auto &entry) {
+        return entry.second.version < row.version;
+    });
     record.recordedState = progress->state;
     record.progress = std::move(*progress);
     record.progressVersion = row.version;
     return true;
 }
 
+void GraphTable::adoptContinuation(const TableRow &row, const std::string &job, std::uint32_t number)
+{
+    if (row.erased) {
+        if (const auto record = m_records.find(job); record != m_records.end()) {
+            record->second.continuations.erase(number);
+        }
+        return;
+    }
+    GraphRecord &record = m_records[job];
+    record.id = job;
+    ContinuationRow &continuation = record.continuations[number];
+    if (row.version > continuation.version) {
+        continuation = {row.version, row.value};
+    }
+}
+
 std::string GraphTable::adopt(const TableRow &row, bool ownsProgress)
 {
+    if (const auto continuation = PoolRows::continuationIn(row.key)) {
+        if (!ownsProgress) { // the owner has written it, and knows the units
+            adoptContinuation(row, continuation->first, continuation->second);
+        }
+        return {};
+    }
     std::optional<std::string> id = PoolRows::nameIn(row.key, PoolRows::specPrefix);
     const bool isSpec = id.has_value();
     if (!id) {
@@ -122,7 +160,10 @@
     if (record.encodedProgress.empty()) {
         return true;
     }
-    const std::string text = std::exchange(record.encodedProgress, {});
+    std::string text = std::exchange(record.encodedProgress, {});
+    if (record.continuationCount > 0) {
+        text = joinProgressRows(text, takeContinuations(record));
+    }
     std::optional<GraphProgress> progress = decodeGraphProgress(text);
     if (progress && matches(*progress, record.spec)) {
         record.progress = std::move(*progress);
--- a/src/pool/GraphTable.h
+++ b/src/pool/GraphTable.h
@@ -80,6 +80,7 @@
 private:
     bool adoptSpec(GraphRecord &record, const TableRow &row);
     bool adoptProgress(GraphRecord &record, const TableRow &row, bool ownsProgress);
+    void adoptContinuation(const TableRow &row, const std::string &job, std::uint32_t number);
     bool decodeUnits(GraphRecord &record);
 
     std::map<std::string, GraphRecord> m_records;
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -186,7 +186,9 @@
         waiting.criticalPaths = criticalPathsOf(job.spec);
         waiting.objective = objectiveOf(job.spec, job.terms);
     }
-    for (std::uint32_t occurrence = job.progress.finishedOccurrences; occurrence < occurrencesOf(job.spec); ++occurrence) {
+    const std::uint32_t first = job.progress.finishedOccurrences;
+    const std::uint32_t end = first + std::min(occurrencesOf(job.spec) - first, maxOverlapOf(job.spec));
+    for (std::uint32_t occurrence = first; occurrence < end; ++occurrence) {
         if (!isDue(job, occurrence, now)) {
             return;
         }
--- a/src/pool/PoolRows.h
+++ b/src/pool/PoolRows.h
@@ -4,9 +4,14 @@
 
 #include <algorithm>
 #include <cctype>
+#include <charconv>
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <system_error>
+#include <utility>
 
 namespace banyanlock
 {
@@ -20,6 +25,8 @@
     static constexpr std::string_view specPrefix = "spec/"; ///< Rows with the specification of each job.
     static constexpr std::string_view progressPrefix
         = "job/"; ///< Rows with the progress of each job; only the owner writes them after submission.
+    static constexpr std::string_view continuationPrefix
+        = "units/"; ///< Continuation rows of progress that exceeds one row, by job and number; see `ContinuationRow`.
     static constexpr std::string_view cancelPrefix = "cancel/"; ///< Rows that mark cancelled jobs, by job.
     static constexpr std::string_view workerPrefix = "worker/"; ///< Rows of registered agents, by RPC address.
 
@@ -31,6 +38,29 @@
         return std::string(prefix) + std::string(name);
     }
 
+    /// @param job Job id.
+    /// @param number Number of a continuation row, from zero.
+    /// @return The row's key.
+    static std::string continuationKey(std::string_view job, std::uint32_t number)
+    {
+        return keyOf(continuationPrefix, job) + "/" + std::to_string(number);
+    }
+
+    /// @param key Key of a row.
+    /// @return Job id and number, or nothing if it is no continuation row.
+    static std::optional<std::pair<std::string, std::uint32_t>> continuationIn(std::string_view key)
+    {
+        const std::optional<std::string> name = nameIn(key, continuationPrefix);
+        const std::size_t slash = name ? name->find('/') : std::string::npos;
+        if (slash == std::string::npos || !isJobId(std::string_view(*name).substr(0, slash))) {
+            return std::nullopt;
+        }
+        std::uint32_t number = 0;
+        const char *const end = name->data() + name->size();
+        const auto [parsedTo, error] = std::from_chars(name->data() + slash + 1, end, number);
+        return error == std::errc() && parsedTo == end ? std::optional(std::pair(name->substr(0, slash), number)) : std::nullopt;
+    }
+
     /// @param key Key of a row.
     /// @param prefix Prefix of the kind of row.
     /// @return Job id or RPC address, or nothing if the row is of another kind.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -2,7 +2,6 @@
 
 #include "core/Assert.h"
 #include "core/Log.h"
-#include "graph/GraphCodec.h"
 
 #include <algorithm>
 #include <array>
@@ -16,10 +15,10 @@
 constexpr std::array<const char *, 7> stopReasonNames{"none",        "cancelled",     "job_failed",  "preempted",
                                                       "member_lost", "worker_leaves", "already_done"};
 
-// The table service takes 100 entries in a transaction, and the host daemon adds two for the owner row.
-constexpr std::size_t maxEntriesInBatch = 98;
+// The host daemon adds a check and a write of the owner row.
+constexpr std::size_t ownerEntries = 2;
 
-// Each job needs two entries, its row and the check of its cancellation; the others are left for the checks of operators' rows.
+// Each job needs two entries or more, its rows and the check of its cancellation; the others are left for the checks of operators' rows.
 constexpr std::size_t maxJobsInBatch = 38;
 
 // Delay with which rows of ended jobs and vanished agents are erased, after a retention period of minutes.
@@ -33,13 +32,14 @@
 }
 
 PoolScheduler::PoolScheduler(GraphTable &jobs, const OperatorView &operators, OperatorRows rows, PoolTiming timing, PlannerPolicy policy,
-                             Counters &counters)
+                             Counters &counters, TableLimits limits)
     : m_jobs(jobs)
     , m_operators(operators)
     , m_rows(std::move(rows))
     , m_timing(timing)
     , m_planner(policy)
     , m_counters(counters)
+    , m_limits(limits)
 {
 }
 
@@ -183,18 +183,23 @@
     }
     m_nextErasure = now + erasureInterval;
     const std::string table(PoolRows::table);
-    const std::size_t entries = batch.writes.size() + batch.checks.size();
-    std::size_t room = entries < maxEntriesInBatch ? maxEntriesInBatch - entries : 0;
+    const std::size_t entries = batch.writes.size() + batch.checks.size() + ownerEntries;
+    std::size_t room = entries < m_limits.transactionEntries ? m_limits.transactionEntries - entries : 0;
     constexpr std::array prefixes{PoolRows::specPrefix, PoolRows::progressPrefix, PoolRows::cancelPrefix};
     for (const std::string &id : m_jobs.ended()) {
         const TimePoint since = m_endedSince.try_emplace(id, now).first->second;
-        if (now - since < m_timing.retentionPeriod || room < prefixes.size()) {
+        const GraphRecord *job = std::as_const(m_jobs).find(id);
+        const std::uint32_t continuations = job == nullptr ? 0 : job->continuationCount;
+        if (now - since < m_timing.retentionPeriod || room < prefixes.size() + continuations) {
             continue;
         }
-        room -= prefixes.size();
+        room -= prefixes.size() + continuations;
         for (const std::string_view prefix : prefixes) {
             batch.writes.push_back({table, PoolRows::keyOf(prefix, id), std::nullopt});
         }
+        for (std::uint32_t number = 0; number < continuations; ++number) {
+            batch.writes.push_back({table, PoolRows::continuationKey(id, number), std::nullopt});
+        }
         m_erasedJobs.push_back(id);
     }
     for (const auto &[agent, worker] : m_workers) {
@@ -224,52 +229,102 @@
     }
 }
 
-std::optional<PoolBatch> PoolScheduler::takeBatch(TimePoint now)
+std::set<std::string> PoolScheduler::domainsToCheck(const std::string &job) const
 {
-    if (!isOwner() || m_batchInFlight || !isBatchDue(now)) {
-        return std::nullopt;
-    }
-    PoolBatch batch;
     std::set<std::string> domains;
-    std::set<std::string> starting;
-    std::map<std::string, GraphState> written;
-    for (const std::string &id : chooseDirtyJobs()) {
-        const GraphRecord *job = m_jobs.find(id);
-        BANYANLOCK_ASSERT(job != nullptr);
-        batch.writes.push_back(
-            {std::string(PoolRows::table), PoolRows::keyOf(PoolRows::progressPrefix, id), encodeGraphProgress(job->progress)});
-        written[id] = job->progress.state;
-        for (auto unit = m_units.lower_bound({id, UnitKey()}); unit != m_units.end() && unit->first.first == id; ++unit) {
-            if (unit->second.phase != UnitPhase::Planned) {
-                continue;
-            }
-            unit->second.phase = UnitPhase::Recording;
-            m_recording.push_back(unit->first);
-            starting.insert(id);
+    for (auto unit = m_units.lower_bound({job, UnitKey()}); unit != m_units.end() && unit->first.first == job; ++unit) {
+        if (unit->second.phase == UnitPhase::Planned) {
             for (const ActiveMember &member : unit->second.members) {
                 domains.insert(member.worker->status.worker.failureDomain);
             }
         }
     }
-    for (const auto &[id, state] : written) {
-        m_dirty.erase(id);
+    return domains;
+}
+
+ProgressRows PoolScheduler::encodeProgress(const GraphRecord &job) const
+{
+    ProgressRows rows = encodeProgressRows(job.progress, m_limits.rowBytes);
+    if (rows.bytes() > m_limits.transactionBytes) {
+        Log::warning("checkpoints_not_recorded", {{"job", job.id}, {"bytes", static_cast<std::int64_t>(rows.bytes())}});
+        GraphProgress progress = job.progress;
+        for (auto &[key, unit] : progress.units) {
+            unit.checkpoint.clear();
+        }
+        rows = encodeProgressRows(progress, m_limits.rowBytes);
+    }
+    return rows;
+}
+
+bool PoolScheduler::addToBatch(PoolBatch &batch, const std::string &job)
+{
+    const GraphRecord *record = m_jobs.find(job);
+    BANYANLOCK_ASSERT(record != nullptr);
+    const ProgressRows rows = encodeProgress(*record);
+    const std::set<std::string> domains = domainsToCheck(job);
+    std::set<std::string> allDomains = m_batchDomains;
+    allDomains.insert(domains.begin(), domains.end());
+    const auto count = static_cast<std::uint32_t>(rows.continuations.size());
+    const std::size_t rowCount = 1 + std::max(count, record->continuationCount);
+    const std::size_t newChecks = domains.empty() ? 0 : 1; // of the cancellation
+    const std::size_t sharedChecks = allDomains.empty() ? 0 : 1 + allDomains.size(); // of the operators' rows
+    const std::size_t entries = batch.writes.size() + batch.checks.size() + rowCount + newChecks + sharedChecks;
+    const bool fits = entries <= m_limits.transactionEntries - ownerEntries && m_batchBytes + rows.bytes() <= m_limits.transactionBytes;
+    if (!fits && !batch.writes.empty()) {
+        return false;
+    }
+    const std::string table(PoolRows::table);
+    batch.writes.push_back({table, PoolRows::keyOf(PoolRows::progressPrefix, job), rows.head});
+    for (std::uint32_t number = 0; number < std::max(count, record->continuationCount); ++number) {
+        batch.writes.push_back(
+            {table, PoolRows::continuationKey(job, number), number < count ? std::optional(rows.continuations[number]) : std::nullopt});
     }
-    m_batchJobs = written;
-    batch.startsRuns = !starting.empty();
-    for (const std::string &id : starting) {
-        batch.checks.push_back({std::string(PoolRows::table), PoolRows::keyOf(PoolRows::cancelPrefix, id), 0});
+    if (!domains.empty()) {
+        batch.checks.push_back({table, PoolRows::keyOf(PoolRows::cancelPrefix, job), 0});
+        batch.startsRuns = true;
     }
-    if (!starting.empty()) {
-        batch.checks.push_back({m_rows.table, m_rows.configurationKey, m_operators.configurationRowVersion});
-        for (const std::string &domain : domains) {
-            batch.checks.push_back({m_rows.table, m_rows.outDomainPrefix + domain, 0});
+    m_batchBytes += rows.bytes();
+    m_batchDomains = std::move(allDomains);
+    m_batchJobs[job] = {record->progress.state, count};
+    m_dirty.erase(job);
+    for (auto unit = m_units.lower_bound({job, UnitKey()}); unit != m_units.end() && unit->first.first == job; ++unit) {
+        if (unit->second.phase == UnitPhase::Planned) {
+            unit->second.phase = UnitPhase::Recording;
+            m_recording.push_back(unit->first);
         }
     }
+    return true;
+}
+
+void PoolScheduler::addChecks(PoolBatch &batch)
+{
+    if (!batch.startsRuns) {
+        return;
+    }
+    batch.checks.push_back({m_rows.table, m_rows.configurationKey, m_operators.configurationRowVersion});
+    for (const std::string &domain : m_batchDomains) {
+        batch.checks.push_back({m_rows.table, m_rows.outDomainPrefix + domain, 0});
+    }
+}
+
+std::optional<PoolBatch> PoolScheduler::takeBatch(TimePoint now)
+{
+    if (!isOwner() || m_batchInFlight || !isBatchDue(now)) {
+        return std::nullopt;
+    }
+    PoolBatch batch;
+    m_batchBytes = 0;
+    m_batchDomains.clear();
+    m_batchJobs.clear();
+    const std::vector<std::string> chosen = chooseDirtyJobs();
+    const bool complete = std::ranges::all_of(chosen, [&](const std::string &id) {
+        return addToBatch(batch, id);
+    });
+    addChecks(batch);
     addErasures(batch, now);
     if (batch.writes.empty()) {
         return std::nullopt;
     }
-    BANYANLOCK_ASSERT(batch.writes.size() + batch.checks.size() <= maxEntriesInBatch);
     m_endsInBatch.clear();
     if (m_dirty.empty()) {
         for (const auto &[agent, worker] : m_workers) {
@@ -279,7 +334,7 @@
         }
     }
     m_batchInFlight = true;
-    m_urgentDirty = false;
+    m_urgentDirty = m_urgentDirty && !complete;
     m_lastBatchAt = now;
     return batch;
 }
@@ -321,9 +376,10 @@
         return;
     }
     m_batchInFlight = false;
-    for (const auto &[id, state] : std::exchange(m_batchJobs, {})) {
+    for (const auto &[id, written] : std::exchange(m_batchJobs, {})) {
         if (GraphRecord *job = m_jobs.find(id)) {
-            job->recordedState = state;
+            job->recordedState = written.state;
+            job->continuationCount = written.continuationCount;
         }
     }
     removeErased();
@@ -359,7 +415,7 @@
     m_endsInBatch.clear();
     m_erasedJobs.clear();
     m_erasedAgents.clear();
-    for (const auto &[id, state] : std::exchange(m_batchJobs, {})) {
+    for (const auto &[id, written] : std::exchange(m_batchJobs, {})) {
         const GraphRecord *job = m_jobs.find(id);
         BANYANLOCK_ASSERT(job != nullptr);
         markDirty(*job);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -2,6 +2,7 @@
 
 #include "core/Counters.h"
 #include "core/TableTypes.h"
+#include "graph/GraphCodec.h"
 #include "pool/ActiveUnit.h"
 #include "pool/GraphTable.h"
 #include "pool/PoolConfiguration.h"
@@ -94,8 +95,9 @@
     /// @param timing Intervals and timeouts.
     /// @param policy Policy of the planner.
     /// @param counters Counters to update.
+    /// @param limits Limits of the table service.
     PoolScheduler(GraphTable &jobs, const OperatorView &operators, OperatorRows rows, PoolTiming timing, PlannerPolicy policy,
-                  Counters &counters);
+                  Counters &counters, TableLimits limits = TableLimits());
 
     /// Acquires ownership of the pool; all rows up to the acquisition have been read.
     /// @param epoch Fencing token.
@@ -213,6 +215,12 @@
 private:
     using UnitId = std::pair<std::string, UnitKey>;
 
+    /// What a batch writes about a job.
+    struct WrittenJob {
+        GraphState state = GraphState::Queued;
+        std::uint32_t continuationCount = 0;
+    };
+
     void requestPlan()
     {
         m_changed = true;
@@ -223,6 +231,10 @@
     void restoreRunningUnits(TimePoint now);
     void markDirty(const GraphRecord &job);
     std::vector<std::string> chooseDirtyJobs() const;
+    std::set<std::string> domainsToCheck(const std::string &job) const;
+    bool addToBatch(PoolBatch &batch, const std::string &job);
+    void addChecks(PoolBatch &batch);
+    ProgressRows encodeProgress(const GraphRecord &job) const;
     bool isBatchDue(TimePoint now) const;
     bool isStillAllowed(const ActiveUnit &unit) const;
     void withdraw(const UnitId &id);
@@ -305,6 +317,7 @@
     PoolTiming m_timing;
     PoolPlanner m_planner;
     Counters &m_counters;
+    TableLimits m_limits;
     std::map<std::string, PoolWorker> m_workers; // by agent
     std::map<UnitId, ActiveUnit> m_units;
     std::set<UnitId> m_unitsWithNewEnds; // units with a member whose end has not been evaluated yet
@@ -316,7 +329,9 @@
     bool m_urgentDirty = false; // an urgent job has changed since the last batch
     TimePoint m_lastBatchAt{};
     std::vector<UnitId> m_recording; // units whose start is recorded by the batch in flight
-    std::map<std::string, GraphState> m_batchJobs; // jobs whose progress is written by the batch in flight, with the written state
+    std::map<std::string, WrittenJob> m_batchJobs; // jobs whose progress is written by the batch in flight
+    std::set<std::string> m_batchDomains; // failure domains that the batch in flight checks
+    std::size_t m_batchBytes = 0; // size of the texts in the batch in flight
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent: last end that the batch in flight records
     std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
     std::map<std::string, TimePoint> m_endedSince; // ended jobs, with the time at which this owner first noticed the end
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -33,14 +33,16 @@
     /// @param staleLimit Age from which the operators' rows are stale; calls are then refused.
     /// @param counters Counters.
     /// @param latencies Latencies.
+    /// @param limits Limits of the table service.
     PoolApi(typename Platform::Loop &loop, typename Platform::Store &store, PoolMirror<Platform> &mirror, Duration staleLimit,
-            Counters &counters, Latencies &latencies)
+            Counters &counters, Latencies &latencies, TableLimits limits = TableLimits())
         : m_loop(loop)
         , m_store(store)
         , m_mirror(mirror)
         , m_staleLimit(staleLimit)
         , m_counters(counters)
         , m_latencies(latencies)
+        , m_limits(limits)
     {
     }
 
@@ -207,6 +209,14 @@
 
     void recordJob(const ExchangePointer &exchange)
     {
+        const std::string specText = encodeGraphSpec(exchange->record);
+        if (specText.size() > m_limits.rowBytes) {
+            refuse(exchange, CallOutcome::Malformed,
+                   "specification needs " + std::to_string(specText.size()) + " bytes, more than the " + std::to_string(m_limits.rowBytes)
+                       + " bytes that can be recorded",
+                   Counter::PoolRefusedMalformed);
+            return;
+        }
         const std::string table(PoolRows::table);
         const std::string specKey = PoolRows::keyOf(PoolRows::specPrefix, exchange->job);
         const std::string progressKey = PoolRows::keyOf(PoolRows::progressPrefix, exchange->job);
@@ -215,7 +225,6 @@
         transaction.changeId = "submit/" + exchange->job;
         transaction.checks
             = {{table, specKey, 0}, {operatorRows.table, operatorRows.configurationKey, m_mirror.operators().configurationRowVersion}};
-        const std::string specText = encodeGraphSpec(exchange->record);
         const std::string progressText = encodeGraphProgress(exchange->record.progress);
         transaction.writes = {{table, specKey, specText}, {table, progressKey, progressText}};
         commit(exchange, std::move(transaction),
@@ -367,6 +376,7 @@
     Duration m_staleLimit;
     Counters &m_counters;
     Latencies &m_latencies;
+    TableLimits m_limits;
 };
 
 } // namespace banyanlock
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -29,10 +29,11 @@
         , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
         , m_mirror(m_store, m_loop, m_counters)
         , m_scheduler(m_mirror.jobs(), m_mirror.operators(), Platform::operatorRows(), makeTimes(m_settings), makePolicy(m_settings),
-                      m_counters)
+                      m_counters, makeLimits(m_settings))
         , m_owner({m_settings.name, makeIncarnation(), processorsOf(m_settings)}, m_loop, m_store, m_mirror, m_scheduler, m_counters,
                   m_latencies)
-        , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters, m_latencies)
+        , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters, m_latencies,
+                makeLimits(m_settings))
         , m_callerServer(m_loop, HttpServerLimits(), m_counters,
                          [this](const ServerRequest &request, const HttpServer::Responder &respond) {
                              serveCaller(request, respond);
@@ -111,6 +112,13 @@
         return policy;
     }
 
+    static TableLimits makeLimits(const PoolEntrySettings &settings)
+    {
+        TableLimits limits;
+        limits.rowBytes = static_cast<std::size_t>(settings.tableRowBytes) / 4 * 3; // texts are sent in Base64
+        return limits;
+    }
+
     static std::int64_t processorsOf(const PoolEntrySettings &settings)
     {
         return settings.processorShare * settings.processorCores;
--- a/src/poolhost/PoolSettings.cpp
+++ b/src/poolhost/PoolSettings.cpp
@@ -22,6 +22,8 @@
         Key{"stale_limit_ms", Milliseconds, &S::staleLimitMilliseconds, 1000, 60000, false,
             "Age from which the configuration is stale and calls are refused."},
         Key{"stop_ms", Milliseconds, &S::stopMilliseconds, 500, 600000, false, "Time between the stop signal and the kill."},
+        Key{"table_row_bytes", Count, &S::tableRowBytes, 8192, 16777216, false,
+            "Maximum size of a row in the table service, in bytes. A job whose progress exceeds it is recorded in several rows."},
         Key{"remote_factor", Count, &S::remoteFactor, 1, 100, false, "Slowdown factor of tasks that run away from their data."},
         Key{"processor_share", Share, &S::processorShare, 1, 1000, false,
             "Share of its processors that the instance may use; the entries with most processor time own the pool."},
--- a/src/poolhost/PoolSettings.h
+++ b/src/poolhost/PoolSettings.h
@@ -23,6 +23,7 @@
     std::int64_t stopMilliseconds = 6000; ///< Time between the stop signal and the kill.
     std::int64_t remoteFactor = 3; ///< Slowdown factor of tasks that run away from their data.
     std::int64_t processorShare = 0; ///< Share of its processors that the instance may use, in thousandths; zero if unknown.
+    std::int64_t tableRowBytes = 65536; ///< Maximum size of a row in the table service, in bytes.
     std::int64_t processorCores = 1; ///< Number of processors, or speed of the only one relative to others.
 };
 
--- a/tests/graph/GraphCodecTest.cpp
+++ b/tests/graph/GraphCodecTest.cpp
@@ -96,6 +96,37 @@
     BOOST_TEST(decodeGraphProgress(encodeGraphProgress(progress)).has_value());
 }
 
+// Guards against progress that is lost or altered when it is recorded in several rows.
+BOOST_AUTO_TEST_CASE(progressIsSplitIntoRowsAndJoined)
+{
+    GraphProgress progress;
+    progress.state = GraphState::Running;
+    for (std::uint32_t index = 0; index < 100; ++index) {
+        progress.units[{0, 0, index}].places = {{{"w" + std::to_string(index), 17}, "10.0.0.1:7000"}};
+    }
+    const std::string whole = encodeGraphProgress(progress);
+    const ProgressRows single = encodeProgressRows(progress, whole.size());
+    BOOST_TEST(single.head == whole);
+    BOOST_TEST(single.continuations.empty());
+    BOOST_TEST(continuationCountOf(whole) == 0U);
+    for (const std::size_t limit : {whole.size() - 1, whole.size() / 2, std::size_t(100)}) {
+        const ProgressRows rows = encodeProgressRows(progress, limit);
+        BOOST_TEST(rows.head.size() <= limit);
+        BOOST_TEST(continuationCountOf(rows.head) == rows.continuations.size());
+        BOOST_TEST(joinProgressRows(rows.head, rows.continuations) == whole);
+        BOOST_TEST(!decodeGraphProgress(rows.head).has_value()); // never read as progress without units
+        const std::optional<GraphProgress> head = decodeGraphProgressHead(rows.head);
+        BOOST_REQUIRE(head.has_value());
+        BOOST_TEST((head->state == GraphState::Running));
+        std::vector<std::string> incomplete = rows.continuations;
+        incomplete.pop_back();
+        BOOST_TEST(!decodeGraphProgress(joinProgressRows(rows.head, incomplete)).has_value());
+    }
+    for (const std::string count : {"-1", "101", "4294967296", "[]", "\"3\"", ""}) {
+        BOOST_TEST(continuationCountOf(R"({"finished":0,"state":"running","units":)" + count + "}") == 0U, count);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(specRowsWithImpossibleNumbersAreRejected)
 {
     const std::string text = encodeGraphSpec(makeRecord());
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -125,6 +125,19 @@
     BOOST_TEST(world.startsOf("job1") == 0U);
 }
 
+// Guards against a job whose specification the table service can't hold: it is refused at once, and nothing is repeated.
+BOOST_AUTO_TEST_CASE(specificationBeyondARowIsRefused)
+{
+    PoolWorld world({});
+    world.run(startupTime);
+    StepSpec step = makeStep(1, 1, 1000);
+    step.requiredLabel.assign(60'000, 'x');
+    world.submit("job1", makeJob(step), "normal");
+    world.run(fromMilliseconds(200));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Malformed));
+    BOOST_TEST(world.answerFor("job1").reason.find("49152") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(entryPartitionedFromStoreRefusesAtOnce)
 {
     PoolWorld world({});
--- a/tests/pool/PoolSchedulerTest.cpp
+++ b/tests/pool/PoolSchedulerTest.cpp
@@ -14,6 +14,14 @@
 constexpr std::int64_t unixOrigin = 1'700'000'000'000;
 constexpr std::size_t maxTransactionEntries = 100; // of the table service
 constexpr std::size_t ownerRowEntries = 2; // the host daemon checks and writes the owner row
+constexpr std::size_t maxRowBytes = 65536; // of the table service, in Base64
+constexpr std::size_t maxTransactionBytes = 1'000'000; // of the table service, in Base64
+
+/// @return Size of a text in Base64.
+std::size_t encodedBytes(const std::string &text)
+{
+    return (text.size() + 2) / 3 * 4;
+}
 
 /// An owner with workers of eight accelerators, driven event by event.
 struct Fixture {
@@ -23,7 +31,9 @@
     OperatorView operators;
     PoolScheduler scheduler{jobs, operators, {"operators", "configuration", "out/"}, PoolTiming(), PlannerPolicy(), counters};
     std::map<std::string, WorkerStatus> statuses;
+    std::map<std::string, TableRow> rows; // of the table service, as far as batches were stored
     std::uint64_t version = 1;
+    std::uint64_t endNumber = 0;
 
     explicit Fixture(std::size_t workers = 6)
     {
@@ -81,6 +91,50 @@
         scheduler.onRows();
     }
 
+    /// Adds an accepted job of gangs whose tasks need a fifth of a core each.
+    void addGangs(const std::string &id, std::uint32_t gangs, std::uint32_t tasks)
+    {
+        GraphRecord record;
+        StepSpec gang;
+        gang.tasks = tasks;
+        gang.gang = true;
+        gang.demand = {200, 0, 0};
+        gang.estimate = fromMilliseconds(5000);
+        record.spec.steps.assign(gangs, gang);
+        record.terms = {"queue", "workspace", "service", 1, 3, 2.0, fromMilliseconds(500)};
+        record.acceptedUnixMilliseconds = unixOrigin;
+        adopt(PoolRows::keyOf(PoolRows::specPrefix, id), encodeGraphSpec(record));
+        adopt(PoolRows::keyOf(PoolRows::progressPrefix, id), encodeGraphProgress({}));
+        scheduler.onRows();
+    }
+
+    /// Applies the writes of a committed batch to the table service's rows.
+    void store(const PoolBatch &batch)
+    {
+        ++version;
+        for (const RowWrite &write : batch.writes) {
+            if (write.value) {
+                rows[write.key] = {std::string(PoolRows::table), write.key, version, *write.value, false};
+            } else {
+                rows.erase(write.key);
+            }
+        }
+    }
+
+    /// Reports all active runs as ended.
+    void endRuns(RunEnding ending)
+    {
+        for (auto &[agent, status] : statuses) {
+            ++status.number;
+            status.clock = now;
+            status.ends.clear();
+            for (const PlacedMember &placed : scheduler.workers().at(agent).members) {
+                status.ends.push_back({++endNumber, placed.member->run, ending, {}});
+            }
+            scheduler.onCallAnswered(agent, 0, &status, now, now);
+        }
+    }
+
     void adopt(const std::string &key, const std::optional<std::string> &value)
     {
         jobs.adopt({std::string(PoolRows::table), key, ++version, value.value_or(""), !value}, true);
@@ -194,6 +248,109 @@
     BOOST_TEST(batch.writes.size() + batch.checks.size() + ownerRowEntries <= maxTransactionEntries);
 }
 
+// Guards against an accepted job whose progress exceeds a row: the table service refuses each transaction of every owner (review case 1).
+BOOST_FIXTURE_TEST_CASE(progressBeyondARowIsRecordedInSeveralRows, Fixture)
+{
+    constexpr std::uint32_t gangs = 3;
+    constexpr std::uint32_t tasks = 512;
+    addGangs("job1", gangs, tasks);
+    step();
+    const PoolBatch batch = takeBatch();
+    for (const RowWrite &write : batch.writes) {
+        BOOST_TEST(encodedBytes(write.value.value_or("")) <= maxRowBytes, write.key);
+    }
+    store(batch);
+
+    GraphTable followed;
+    const GraphRecord *job = std::as_const(jobs).find("job1");
+    followed.adopt({std::string(PoolRows::table), PoolRows::keyOf(PoolRows::specPrefix, "job1"), 1, encodeGraphSpec(*job), false}, false);
+    for (const auto &[key, row] : rows) {
+        followed.adopt(row, false);
+    }
+    PoolScheduler successor{followed, operators, {"operators", "configuration", "out/"}, PoolTiming(), PlannerPolicy(), counters};
+    successor.acquireOwnership(2, true, now);
+    BOOST_REQUIRE(successor.units().size() == gangs);
+    for (const auto &[id, unit] : successor.units()) {
+        BOOST_TEST(unit.members.size() == tasks);
+    }
+}
+
+// Guards against a job that leaves rows behind when its progress fits into fewer rows again, or when it is erased.
+BOOST_FIXTURE_TEST_CASE(surplusRowsOfProgressAreErased, Fixture)
+{
+    const auto continuations = [&] {
+        return std::ranges::count_if(rows, [](const auto &entry) {
+            return entry.first.starts_with(PoolRows::continuationPrefix);
+        });
+    };
+    addGangs("job1", 3, 512);
+    step();
+    store(takeBatch());
+    scheduler.onCommitted(now);
+    BOOST_TEST(continuations() >= 2);
+    endRuns(RunEnding::Stopped);
+    scheduler.stopPlacing();
+    step();
+    store(takeBatch());
+    scheduler.onCommitted(now);
+    BOOST_TEST(continuations() == 0);
+}
+
+// Guards against a transaction above the table service's limit when many jobs with much progress change at once.
+BOOST_AUTO_TEST_CASE(batchOfLargeJobsFitsIntoATransaction)
+{
+    Fixture pool(60);
+    constexpr int count = 38;
+    for (int job = 0; job < count; ++job) {
+        pool.addGangs("job" + std::to_string(job), 2, 450);
+    }
+    pool.step();
+    std::size_t recorded = 0;
+    while (const std::optional<PoolBatch> batch = pool.scheduler.takeBatch(pool.now)) {
+        std::size_t bytes = 0;
+        for (const RowWrite &write : batch->writes) {
+            bytes += encodedBytes(write.value.value_or("")) + write.key.size();
+        }
+        BOOST_TEST(bytes < maxTransactionBytes);
+        BOOST_TEST(batch->writes.size() + batch->checks.size() + ownerRowEntries <= maxTransactionEntries);
+        recorded += Fixture::jobsIn(*batch).size();
+        pool.scheduler.onCommitted(pool.now);
+        pool.now += PoolTiming().maxBatchPause;
+    }
+    BOOST_TEST(recorded >= static_cast<std::size_t>(count));
+}
+
+// Guards against progress that grows without a limit while occurrences of a job overlap.
+BOOST_FIXTURE_TEST_CASE(overlappingOccurrencesAreLimited, Fixture)
+{
+    GraphRecord record;
+    record.spec.steps.resize(1);
+    record.spec.steps[0].tasks = 500;
+    record.spec.steps[0].demand = {1, 0, 0};
+    record.spec.repetition = {20, 0, 1};
+    record.terms = {"queue", "workspace", "service", 1, 3, 2.0, fromMilliseconds(500)};
+    adopt(PoolRows::keyOf(PoolRows::specPrefix, "job1"), encodeGraphSpec(record));
+    adopt(PoolRows::keyOf(PoolRows::progressPrefix, "job1"), encodeGraphProgress({}));
+    scheduler.onRows();
+    now += fromMilliseconds(500); // all occurrences are due
+    const auto startAll = [&] {
+        constexpr int steps = 10; // a plan starts a part of the units
+        for (int count = 0; count < steps; ++count) {
+            now += fromMilliseconds(10);
+            step();
+            if (scheduler.takeBatch(now)) {
+                scheduler.onCommitted(now);
+            }
+        }
+    };
+    startAll();
+    BOOST_TEST(scheduler.units().size() == maxTasksOfJob);
+    endRuns(RunEnding::Succeeded);
+    startAll();
+    BOOST_TEST(jobs.find("job1")->progress.finishedOccurrences == 4U);
+    BOOST_TEST(scheduler.units().size() == maxTasksOfJob);
+}
+
 BOOST_AUTO_TEST_CASE(urgentJobsAreRecordedFirstUnderABacklog)
 {
     Fixture pool(12);
