Tell truncated lists of ends from whole ones after an acknowledgement

Cause: a worker lists at most 500 ends, and the owner told a truncated list by its length only. Agent and owner remove acknowledged ends from their copies, so the rest looks like a whole list, and runs whose ends follow it are taken for gone. Evidence: in virtual time on 200 run_not_reported lines with the proof order_applied, 4 ms after an acknowledgement, each followed by late_success_taken after the next run was ordered. Change: the status carries whether the latest lists were truncated; neither owner nor agent concludes anything from absence before they are whole. Agents of earlier versions are still recognised by the number of ends.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -9,6 +9,16 @@
 
 namespace banyanlock
 {
+namespace
+{
+
+/// @return Whether the status may lack ends of runs that are over. Agents of earlier versions show it by the number of ends only.
+bool mayOmitEnds(const WorkerStatus &status)
+{
+    return status.endsTruncated || status.ends.size() >= maxListedEnds;
+}
+
+} // namespace
 
 std::optional<PoolScheduler::UnitId> PoolScheduler::unitOf(const TaskName &task) const
 {
@@ -197,9 +207,9 @@
     const auto report = std::ranges::find(status.runs, member.run, &RunReport::run);
     if (status.worker.incarnation != member.place.incarnation) {
         const bool sameId = status.worker.incarnation.worker == member.place.incarnation.worker;
-        if (!status.runsKnown || (sameId && status.unfenced)) {
-            // An order for the earlier incarnation may have reached the new one, and a new process of the agent may have heard a delayed
-            // announcement of an incarnation that has ended.
+        if (!status.runsKnown || (sameId && (status.unfenced || mayOmitEnds(status)))) {
+            // An order for the earlier incarnation may have reached the new one and may have ended there, and a new process of the agent
+            // may have heard a delayed announcement of an incarnation that has ended.
             return;
         }
         if (!sameId || (end == status.ends.end() && report == status.runs.end())) {
@@ -230,8 +240,8 @@
         }
         return;
     }
-    if (status.ends.size() >= maxListedEnds) {
-        return; // its end may follow the listed ones
+    if (mayOmitEnds(status)) {
+        return;
     }
     // A process of the agent that has not received the order knows of its execution only by the worker's lists.
     const bool fromReceiver = member.batch != 0 && status.agentIncarnation == member.agentIncarnation;
--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -79,23 +79,34 @@
 {
     m_clockAtAnswer = lists.clock;
     m_listsReceivedAt = now;
-    const bool omitsConfirmed = std::erase_if(m_confirmed,
-                                              [&](const auto &entry) {
-                                                  return entry.second < sentAt;
-                                              })
-        != 0;
+    const bool wasTruncated = std::exchange(m_endsTruncated, lists.ends.size() >= maxListedEnds);
+    if (wasTruncated != m_endsTruncated) {
+        Log::info(m_endsTruncated ? "ends_truncated" : "ends_complete",
+                  {{"worker", m_worker->incarnation.worker},
+                   {"listed", static_cast<std::int64_t>(lists.ends.size())},
+                   {"acknowledged", static_cast<std::int64_t>(m_acknowledgedEnd)}});
+    }
+    // A confirmed start that is missing from truncated lists may have ended.
+    const bool omitsConfirmed = !m_endsTruncated
+        && std::erase_if(m_confirmed,
+                         [&](const auto &entry) {
+                             return entry.second < sentAt;
+                         })
+            != 0;
     std::vector<RunEnd> ends;
-    const bool maybeCut = lists.ends.size() >= maxListedEnds; // the owner recognises it by the number of ends
     for (const RunEnd &end : lists.ends) {
-        if (maybeCut || end.number > m_acknowledgedEnd) {
+        if (end.number > m_acknowledgedEnd) {
             ends.push_back(end);
         }
     }
     const auto sameRun = [](const RunReport &left, const RunReport &right) {
         return left.run == right.run && left.checkpoint == right.checkpoint;
     };
-    const bool isUpdate
-        = !m_runsKnown || m_silent || omitsConfirmed || ends.size() != m_ends.size() || !std::ranges::equal(lists.runs, m_runs, sameRun);
+    const auto sameEnd = [](const RunEnd &left, const RunEnd &right) {
+        return left.number == right.number;
+    };
+    const bool isUpdate = !m_runsKnown || m_silent || omitsConfirmed || wasTruncated != m_endsTruncated
+        || !std::ranges::equal(ends, m_ends, sameEnd) || !std::ranges::equal(lists.runs, m_runs, sameRun);
     for (const RunEnd &end : ends) {
         m_starts.erase(end.run);
         m_confirmed.erase(end.run);
@@ -145,6 +156,9 @@
     // An unanswered start can no longer take effect if lists requested after its start deadline don't contain it. The deadline is checked
     // against the worker's clock, which may run slow or stand still while the machine is suspended.
     constexpr Duration clockSlack = fromMilliseconds(300);
+    if (m_endsTruncated) {
+        return; // the run may have ended
+    }
     std::vector<RunName> expired;
     for (const auto &[run, pending] : m_starts) {
         const bool isPast = listedAt > pending.order.startBy + clockSlack && m_clockAtAnswer > pending.workerDeadline;
@@ -209,7 +223,8 @@
         renewal.leaseEnd = workerClock(now) + m_timing.lease - sinceContact;
         m_leaseSentAt = now;
     }
-    const bool waits = m_runsKnown && !m_pollImmediately && m_ends.empty() && m_renewalEpoch >= m_epoch && (isFenced() || !m_registered);
+    const bool waits = m_runsKnown && !m_pollImmediately && m_ends.empty() && !m_endsTruncated && m_renewalEpoch >= m_epoch
+        && (isFenced() || !m_registered);
     m_pollImmediately = false;
     renewal.wait = waits ? m_timing.pollWait : Duration();
     renewal.sentAt = now;
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -90,6 +90,8 @@
     bool unfenced = false; ///< The lists do not prove that the worker refuses the orders of earlier agent processes, or those that were
                            ///< sent to its earlier incarnations.
     std::uint64_t workerFence = 0; ///< Fencing token of the agent's orders to the worker; zero if it sends none.
+    bool endsTruncated = false; ///< The worker has listed as many ends as it lists at once when it was last asked. Further ends may exist,
+                                ///< whether or not listed ones have been acknowledged and removed since.
     bool answering = false; ///< The worker has responded to its agent within the silence timeout.
     bool leaseExpired = false; ///< The worker did not respond until its lease expired, so nothing runs on it any more.
     bool connectionRefused = false; ///< The worker's address refuses connections.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -41,6 +41,7 @@
     m_silent = false;
     m_connectionRefused = false;
     m_incarnationUncertain = false;
+    m_endsTruncated = false;
     m_endNumbersUncertain = false;
     m_leaseExpired = false;
     m_renewalInFlight = false;
@@ -430,6 +431,7 @@
     status.runsKnownEpoch = m_runsKnown && isFenced() ? m_renewalEpoch : 0;
     status.unfenced = !isFenced();
     status.workerFence = m_fence;
+    status.endsTruncated = m_endsTruncated;
     status.answering = m_runsKnown && !m_silent;
     status.leaseExpired = m_leaseExpired;
     status.connectionRefused = m_connectionRefused;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -250,6 +250,7 @@
     bool m_silent = false;
     bool m_connectionRefused = false;
     bool m_incarnationUncertain = false; // the worker may have restarted without having announced it yet: nothing is started
+    bool m_endsTruncated = false; // the latest lists may not contain all ends
     bool m_endNumbersUncertain = false; // the worker may have restarted, which resets the numbers of ends: none is acknowledged
     bool m_leaseExpired = false;
     TimePoint m_nextRenewal{};
--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -166,6 +166,7 @@
     builder.setHighestEpoch(status.highestEpoch);
     builder.setOrdersSeen(status.lastOrderBatch);
     builder.setListed(status.runsKnown);
+    builder.setEndsTruncated(status.endsTruncated);
     builder.setAnswering(status.answering);
     builder.setLapsed(status.leaseExpired);
     builder.setRefusing(status.connectionRefused);
@@ -204,6 +205,7 @@
     status.highestEpoch = reader.getHighestEpoch();
     status.lastOrderBatch = reader.getOrdersSeen();
     status.runsKnown = reader.getListed();
+    status.endsTruncated = reader.getEndsTruncated();
     status.answering = reader.getAnswering();
     status.leaseExpired = reader.getLapsed();
     status.connectionRefused = reader.getRefusing();
--- a/src/rpc/banyanlock.capnp
+++ b/src/rpc/banyanlock.capnp
@@ -165,6 +165,7 @@
   listedEpoch @23 :UInt64;
   unfenced @24 :Bool;
   workerFence @25 :UInt64;
+  endsTruncated @26 :Bool;
 }
 
 interface SupervisorRpc {
--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -125,7 +125,7 @@
     for (const auto &[run, state] : m_running) {
         lists.runs.push_back({run, false, checkpointText(state.saved)});
     }
-    lists.ends = m_ends;
+    lists.ends.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(m_ends.size(), maxListedEnds)));
     return lists;
 }
 
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -276,4 +276,38 @@
     BOOST_TEST(world.startsOf("job1") == 3U);
 }
 
+// Guards against a second run of tasks that ended while the table service was down, more of them than a worker lists at once (review
+// case 2).
+BOOST_AUTO_TEST_CASE(tasksThatEndDuringAnOutageOfTheTableServiceRunOnce)
+{
+    WorldOptions options;
+    options.workers = 2;
+    PoolWorld world(options);
+    world.run(startupTime);
+    constexpr int jobs = 25;
+    constexpr std::uint32_t tasks = 60;
+    constexpr std::uint32_t nextTasks = 10;
+    for (int job = 0; job < jobs; ++job) {
+        StepSpec step = makeStep(tasks, 0, 6000);
+        step.demand = {50, 0, 0};
+        StepSpec next = makeStep(nextTasks, 0, 1000);
+        next.demand = step.demand;
+        next.after = {0};
+        GraphSpec spec = makeJob(step);
+        spec.steps.push_back(next);
+        world.submit("job" + std::to_string(job), spec, "normal");
+        world.run(fromMilliseconds(200));
+    }
+    world.tableService().down = true;
+    world.run(fromMilliseconds(4200));
+    world.tableService().down = false;
+    world.run(fromMilliseconds(15000));
+    for (int job = 0; job < jobs; ++job) {
+        const std::string id = "job" + std::to_string(job);
+        BOOST_TEST(static_cast<int>(world.stateOf(id)) == static_cast<int>(GraphState::Completed), id);
+        BOOST_TEST(world.startsOf(id) == tasks + nextTasks, id);
+    }
+    BOOST_TEST(world.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -275,6 +275,30 @@
     BOOST_TEST(!isRunOver());
 }
 
+// Guards against a second run of tasks whose ends the worker could not list at once (review case 2): once the listed ends have been
+// acknowledged, the status holds neither them nor the others.
+BOOST_AUTO_TEST_CASE(runIsNotOverWhenTheListedEndsWereAcknowledged)
+{
+    addJob(makeStep(1, 1, 60000), {{workerIncarnation, agentName}});
+    acquire();
+    std::uint64_t number = 0;
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, ++number, true);
+        status.runsKnownEpoch = ownerEpoch;
+        status.endsTruncated = true;
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST(!isRunOver());
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, ++number, true);
+        status.runsKnownEpoch = ownerEpoch;
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST(latestRun() == 2U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -443,6 +443,41 @@
     BOOST_TEST(supervisor.status(now, 0).number > number);
 }
 
+// Guards against a status that looks complete after the listed ends of a worker with more ends have been acknowledged (review case 2).
+BOOST_AUTO_TEST_CASE(statusTellsThatEndsMayFollowTheAcknowledgedOnes)
+{
+    const auto answerWithEnds = [&](std::uint64_t first, std::uint64_t last) {
+        now += fromMilliseconds(300);
+        supervisor.step(now);
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+                BOOST_TEST((renewal->wait == Duration::zero()));
+                WorkerLists lists;
+                lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+                lists.clock = now - bornAt;
+                for (std::uint64_t end = first; end <= last; ++end) {
+                    lists.ends.push_back({end, {{"other", 0, 0, static_cast<std::uint32_t>(end)}, 1}, RunEnding::Succeeded, {}});
+                }
+                supervisor.onLists(*renewal, {lists, {}}, now);
+            }
+        }
+    };
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.acknowledgedIncarnation = workerIncarnation;
+    now += fromMilliseconds(2000);
+    answerWithEnds(1, maxListedEnds);
+    BOOST_TEST(supervisor.status(now, 0).endsTruncated);
+    request.acknowledgedEnd = maxListedEnds;
+    supervisor.onSupervise(request, now);
+    BOOST_TEST(supervisor.status(now, 0).ends.empty());
+    BOOST_TEST(supervisor.status(now, 0).endsTruncated);
+    const std::uint64_t number = supervisor.status(now, 0).number;
+    answerWithEnds(maxListedEnds + 1, maxListedEnds + 1);
+    BOOST_TEST(!supervisor.status(now, 0).endsTruncated);
+    BOOST_TEST(supervisor.status(now, 0).number > number);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
