Close a gang whose members' ends exceed the worker's list

What callers see: a gang with more than 500 members on one worker never ends. Its next run, and whatever needs its room, waits for ever. Cause: a worker lists at most 500 ends and goes on after an acknowledgement, but the ends of an open gang are acknowledged only when all of them are known. Change: while a worker's lists are truncated, ends that a new owner can do without (stopped, lapsed, broken) are acknowledged before their gang is closed; and a gang that has a success or a failure is closed although further ends are not listed, if its members are not running.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -18,6 +18,20 @@
     return status.endsTruncated || status.ends.size() >= maxListedEnds;
 }
 
+/// @return Whether the end of a member decides the outcome of its unit's run: work that is done, or a failure that counts.
+bool isDecisive(RunEnding ending)
+{
+    return ending == RunEnding::Succeeded || ending == RunEnding::Failed;
+}
+
+/// @return Whether the outcome of the unit's run is known, whatever the members do whose ends are not.
+bool isDecided(const ActiveUnit &unit)
+{
+    return std::ranges::any_of(unit.members, [](const ActiveMember &member) {
+        return member.ending && isDecisive(*member.ending);
+    });
+}
+
 } // namespace
 
 std::optional<PoolScheduler::UnitId> PoolScheduler::unitOf(const TaskName &task) const
@@ -132,10 +146,7 @@
     }
     applyLateSuccesses(worker);
     closeEndedUnits(now);
-    updateProcessedEnds(worker);
-    if (m_dirty.empty() && !m_batchInFlight) {
-        worker.recordedEnd = worker.processedEnd; // the ends changed nothing that needs to be written
-    }
+    acknowledgeEnds(worker);
     stopUnknownRuns(worker, now);
 }
 
@@ -152,7 +163,8 @@
     std::uint64_t processed = worker.processedEnd;
     std::uint64_t firstOpen = UINT64_MAX;
     for (const RunEnd &end : worker.status.ends) {
-        if (belongsToActiveUnit(end.run)) {
+        // Truncated lists go on only after an acknowledgement, so ends that a new owner can do without are acknowledged early.
+        if (belongsToActiveUnit(end.run) && (isDecisive(end.ending) || !mayOmitEnds(worker.status))) {
             firstOpen = std::min(firstOpen, end.number);
         } else {
             processed = std::max(processed, end.number);
@@ -188,6 +200,29 @@
     }
 }
 
+void PoolScheduler::resolveTruncatedLists()
+{
+    for (auto &[agent, worker] : m_workers) {
+        if (!worker.known || !mayOmitEnds(worker.status)) {
+            continue;
+        }
+        for (const PlacedMember &placed : worker.members) {
+            if (placed.unit->phase == UnitPhase::Started && !placed.member->ending && isDecided(*placed.unit)) {
+                updateMember(placed, worker);
+            }
+        }
+        acknowledgeEnds(worker);
+    }
+}
+
+void PoolScheduler::acknowledgeEnds(PoolWorker &worker)
+{
+    updateProcessedEnds(worker);
+    if (m_dirty.empty() && !m_batchInFlight) {
+        worker.recordedEnd = worker.processedEnd; // the ends changed nothing that needs to be written
+    }
+}
+
 void PoolScheduler::endMember(const ActiveUnit &unit, ActiveMember &member, RunEnding ending)
 {
     member.ending = ending;
@@ -240,7 +275,7 @@
         }
         return;
     }
-    if (mayOmitEnds(status)) {
+    if (mayOmitEnds(status) && !isDecided(unit)) {
         return;
     }
     // A process of the agent that has not received the order knows of its execution only by the worker's lists.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -167,6 +167,7 @@
     m_unixOffset = offsets[offsets.size() / 2];
     expireSilentRuns(now);
     stopObsoleteUnits(now);
+    resolveTruncatedLists();
     closeEndedUnits(now);
     if (m_placing && (m_planDue || now - m_plannedAt >= m_timing.maxPlanInterval)) {
         m_planDue = !schedule(now);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -254,6 +254,8 @@
     void checkGang(ActiveUnit &unit, TimePoint now);
     bool belongsToActiveUnit(const RunName &run) const;
     void updateProcessedEnds(PoolWorker &worker);
+    void acknowledgeEnds(PoolWorker &worker);
+    void resolveTruncatedLists();
     void applyLateSuccesses(const PoolWorker &worker);
     void stopUnknownRuns(PoolWorker &worker, TimePoint now);
 
--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -86,13 +86,12 @@
                    {"listed", static_cast<std::int64_t>(lists.ends.size())},
                    {"acknowledged", static_cast<std::int64_t>(m_acknowledgedEnd)}});
     }
-    // A confirmed start that is missing from truncated lists may have ended.
-    const bool omitsConfirmed = !m_endsTruncated
-        && std::erase_if(m_confirmed,
-                         [&](const auto &entry) {
-                             return entry.second < sentAt;
-                         })
-            != 0;
+    // A confirmed start that the lists lack is over; if they are truncated, its end is listed later.
+    const bool omitsConfirmed = std::erase_if(m_confirmed,
+                                              [&](const auto &entry) {
+                                                  return entry.second < sentAt;
+                                              })
+        != 0;
     std::vector<RunEnd> ends;
     for (const RunEnd &end : lists.ends) {
         if (end.number > m_acknowledgedEnd) {
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -310,4 +310,38 @@
     BOOST_TEST(world.violations().empty());
 }
 
+// Guards against a gang that never ends because its members' ends on one worker are more than the worker lists at once: none of them was
+// acknowledged before all were known.
+BOOST_AUTO_TEST_CASE(gangWithMoreEndsThanAWorkerListsIsClosed)
+{
+    WorldOptions options;
+    options.workers = 1;
+    PoolWorld world(options);
+    world.run(startupTime);
+    StepSpec gang = makeStep(512, 0, 1000);
+    gang.gang = true;
+    gang.demand = {100, 0, 0};
+    StepSpec whole = makeStep(1, 8, 500);
+    whole.demand.processors = 128000;
+    world.worker(0).setFailing(true);
+    world.submit("failing", makeJob(gang), "normal");
+    world.run(fromMilliseconds(1500));
+    world.worker(0).setFailing(false);
+    world.run(fromMilliseconds(15000));
+    BOOST_TEST(static_cast<int>(world.stateOf("failing")) == static_cast<int>(GraphState::Completed));
+    world.submit("whole1", makeJob(whole), "normal");
+    world.run(fromMilliseconds(4000));
+    BOOST_TEST(static_cast<int>(world.stateOf("whole1")) == static_cast<int>(GraphState::Completed));
+
+    gang.estimate = fromMilliseconds(60000);
+    world.submit("cancelled", makeJob(gang), "normal");
+    world.run(fromMilliseconds(1500));
+    world.cancel("cancelled");
+    world.run(fromMilliseconds(3000));
+    world.submit("whole2", makeJob(whole), "normal");
+    world.run(fromMilliseconds(4000));
+    BOOST_TEST(static_cast<int>(world.stateOf("whole2")) == static_cast<int>(GraphState::Completed));
+    BOOST_TEST(world.violations().empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
