Don't repeat a transaction that the table service rejects as such

Cause: an answer with status 400 or 413 counted as an unknown outcome. The owner repeats such a transaction until it is answered, and renews its ownership only with it; the next owner plans the same. Change: 400, 403 and 413 mean rejected. The owner halves its batches, and sets a job that is rejected by itself aside for 10 s: its starts are withdrawn, its ends stay unacknowledged, everybody else goes on. A caller whose submission is rejected gets a final answer. The rows model and the soak's server reject what exceeds a row, a transaction's size or its entries.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -60,6 +60,7 @@
     {StoreReads, "banyanlock_store_operations_total", "kind=\"read\"", "Operations on the table service, by kind."},
     {StoreWrites, "banyanlock_store_operations_total", "kind=\"write\"", ""},
     {StoreConflicts, "banyanlock_store_operations_total", "kind=\"conflict\"", ""},
+    {StoreRejections, "banyanlock_store_operations_total", "kind=\"rejection\"", ""},
     {StoreFailures, "banyanlock_store_operations_total", "kind=\"failure\"", ""},
     {StoreUnknownSettled, "banyanlock_store_operations_total", "kind=\"unknown_settled\"", ""},
     {ConfigurationAdopted, "banyanlock_configuration_total", "event=\"adopted\"", "Configuration versions seen, by event."},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -63,6 +63,7 @@
     StoreReads,
     StoreWrites,
     StoreConflicts,
+    StoreRejections,
     StoreFailures,
     StoreUnknownSettled,
     ConfigurationAdopted,
--- a/src/core/TableTypes.h
+++ b/src/core/TableTypes.h
@@ -51,6 +51,7 @@
     Committed, ///< The transaction took effect.
     Conflict, ///< A check failed; nothing was written.
     NotSent, ///< The service could not be reached; nothing was written.
+    Rejected, ///< The service rejects the transaction as such: nothing was written, and no repetition can succeed.
     Unknown, ///< The answer was lost; it may have taken effect.
 };
 
--- a/src/entry/ClaimStore.cpp
+++ b/src/entry/ClaimStore.cpp
@@ -85,6 +85,7 @@
             callback({ClaimState::Acquired, {}});
             break;
         case CommitState::NotSent:
+        case CommitState::Rejected:
             callback({ClaimState::StoreUnavailable, {}});
             break;
         case CommitState::Conflict:
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -164,7 +164,8 @@
     std::uint64_t firstOpen = UINT64_MAX;
     for (const RunEnd &end : worker.status.ends) {
         // Truncated lists go on only after an acknowledgement, so ends that a new owner can do without are acknowledged early.
-        if (belongsToActiveUnit(end.run) && (isDecisive(end.ending) || !mayOmitEnds(worker.status))) {
+        const bool isNeeded = belongsToActiveUnit(end.run) || m_setAside.contains(end.run.task.job);
+        if (isNeeded && (isDecisive(end.ending) || !mayOmitEnds(worker.status))) {
             firstOpen = std::min(firstOpen, end.number);
         } else {
             processed = std::max(processed, end.number);
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -208,7 +208,7 @@
 {
     std::vector<PlanGroup> groups;
     for (const auto &[id, job] : m_jobs.open()) {
-        if (job->cancelled || hasEnded(job->progress.state)) {
+        if (job->cancelled || hasEnded(job->progress.state) || m_setAside.contains(id)) {
             continue;
         }
         WaitingUnits &waiting = m_waiting[job];
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -111,6 +111,8 @@
     m_urgentDirty = false;
     m_recording.clear();
     m_batchJobs.clear();
+    m_maxJobsInBatch = maxJobsInBatch;
+    m_setAside.clear();
     m_endsInBatch.clear();
     m_waitingSince.clear();
     m_endedSince.clear();
@@ -143,8 +145,10 @@
 
 void PoolScheduler::markDirty(const GraphRecord &job)
 {
-    m_dirty.try_emplace(job.id, ++m_dirtyOrder);
-    m_urgentDirty = m_urgentDirty || job.terms.priority == 0;
+    if (!m_setAside.contains(job.id)) { // else written later
+        m_dirty.try_emplace(job.id, ++m_dirtyOrder);
+        m_urgentDirty = m_urgentDirty || job.terms.priority == 0;
+    }
     const auto waiting = m_waiting.find(&job);
     if (waiting != m_waiting.end()) {
         waiting->second.changed = true;
@@ -167,6 +171,7 @@
     m_unixOffset = offsets[offsets.size() / 2];
     expireSilentRuns(now);
     stopObsoleteUnits(now);
+    resumeSetAside(now);
     resolveTruncatedLists();
     closeEndedUnits(now);
     if (m_placing && (m_planDue || now - m_plannedAt >= m_timing.maxPlanInterval)) {
@@ -345,13 +350,13 @@
     // Several changes of a job soon after each other are written once. Urgent jobs, full batches and the last one before a release do not
     // wait.
     const Duration pause = std::min(m_timing.batchPausePerWorker * static_cast<std::int64_t>(m_workers.size()), m_timing.maxBatchPause);
-    return m_urgentDirty || !m_placing || m_dirty.size() >= maxJobsInBatch || now - m_lastBatchAt >= pause;
+    return m_urgentDirty || !m_placing || m_dirty.size() >= m_maxJobsInBatch || now - m_lastBatchAt >= pause;
 }
 
 std::vector<std::string> PoolScheduler::chooseDirtyJobs() const
 {
     std::vector<std::string> chosen;
-    if (m_dirty.size() <= maxJobsInBatch) {
+    if (m_dirty.size() <= m_maxJobsInBatch) {
         for (const auto &[id, order] : m_dirty) {
             chosen.push_back(id);
         }
@@ -364,8 +369,8 @@
         BANYANLOCK_ASSERT(job != nullptr);
         ranked.emplace_back(job->terms.priority, order, &id);
     }
-    std::ranges::partial_sort(ranked, ranked.begin() + maxJobsInBatch);
-    for (std::size_t index = 0; index < maxJobsInBatch; ++index) {
+    std::ranges::partial_sort(ranked, ranked.begin() + static_cast<std::ptrdiff_t>(m_maxJobsInBatch));
+    for (std::size_t index = 0; index < m_maxJobsInBatch; ++index) {
         chosen.push_back(*std::get<2>(ranked[index]));
     }
     return chosen;
@@ -403,6 +408,7 @@
             orderStarts(found->second, now);
         }
     }
+    m_maxJobsInBatch = std::min(2 * m_maxJobsInBatch, maxJobsInBatch);
     requestPlan();
 }
 
@@ -433,6 +439,55 @@
     requestPlan();
 }
 
+void PoolScheduler::onRejected(TimePoint now)
+{
+    if (!isOwner()) {
+        return;
+    }
+    const std::size_t jobs = m_batchJobs.size();
+    const std::string rejected = jobs == 1 ? m_batchJobs.begin()->first : std::string();
+    Log::warning("batch_rejected", {{"jobs", static_cast<std::int64_t>(jobs)}, {"job", rejected}});
+    onConflict();
+    m_maxJobsInBatch = std::max<std::size_t>(jobs / 2, 1);
+    if (jobs == 1) {
+        setAside(rejected, now);
+    }
+}
+
+void PoolScheduler::setAside(const std::string &job, TimePoint now)
+{
+    std::vector<UnitId> planned;
+    for (auto unit = m_units.lower_bound({job, UnitKey()}); unit != m_units.end() && unit->first.first == job; ++unit) {
+        if (unit->second.phase == UnitPhase::Planned) {
+            planned.push_back(unit->first);
+        }
+    }
+    for (const UnitId &id : planned) {
+        withdraw(id);
+    }
+    m_dirty.erase(job);
+    m_setAside[job] = now + m_timing.rejectionPause;
+    for (auto &[agent, worker] : m_workers) {
+        worker.processedEnd = worker.recordedEnd; // its ends must not be acknowledged
+        acknowledgeEnds(worker);
+    }
+}
+
+void PoolScheduler::resumeSetAside(TimePoint now)
+{
+    for (auto entry = m_setAside.begin(); entry != m_setAside.end();) {
+        if (now < entry->second) {
+            ++entry;
+            continue;
+        }
+        const GraphRecord *job = std::as_const(m_jobs).find(entry->first);
+        entry = m_setAside.erase(entry);
+        if (job != nullptr) {
+            markDirty(*job);
+        }
+    }
+}
+
 bool PoolScheduler::isStillAllowed(const ActiveUnit &unit) const
 {
     return !unit.record->cancelled && std::ranges::none_of(unit.members, [&](const ActiveMember &member) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -42,6 +42,8 @@
         = fromMilliseconds(1000); ///< Time without an answer, beyond the long-poll wait, after which the owner stops renewing and placing.
     Duration detachedLimit = fromMilliseconds(5000); ///< Time for which an owner that can't reach the table service keeps renewing leases;
                                                      ///< together with the lease this tolerates an outage of 8 s.
+    Duration rejectionPause
+        = fromMilliseconds(10000); ///< Pause before a job whose progress was rejected by the table service is tried again.
     Duration stopRetryInterval = fromMilliseconds(500); ///< Interval between stops of the same run.
     Duration gangStartTimeout
         = fromMilliseconds(1200); ///< Time allowed for all members of a gang to start; less than half of the time that members wait.
@@ -191,6 +193,11 @@
     /// have been read by now.
     void onConflict();
 
+    /// Handles the final rejection of the batch by the table service. Smaller batches follow. A job that can't be recorded even by itself
+    /// is set aside for a while, so that it holds up no other.
+    /// @param now Current time.
+    void onRejected(TimePoint now);
+
     /// @return The calls queued since the last call, in order.
     std::vector<CallAgent> takeCalls();
 
@@ -232,6 +239,8 @@
     void markDirty(const GraphRecord &job);
     std::vector<std::string> chooseDirtyJobs() const;
     std::set<std::string> domainsToCheck(const std::string &job) const;
+    void setAside(const std::string &job, TimePoint now);
+    void resumeSetAside(TimePoint now);
     bool addToBatch(PoolBatch &batch, const std::string &job);
     void addChecks(PoolBatch &batch);
     ProgressRows encodeProgress(const GraphRecord &job) const;
@@ -332,6 +341,8 @@
     TimePoint m_lastBatchAt{};
     std::vector<UnitId> m_recording; // units whose start is recorded by the batch in flight
     std::map<std::string, WrittenJob> m_batchJobs; // jobs whose progress is written by the batch in flight
+    std::size_t m_maxJobsInBatch = 0; // lowered after a rejection
+    std::map<std::string, TimePoint> m_setAside; // jobs whose progress was rejected, with the time until which it isn't written
     std::set<std::string> m_batchDomains; // failure domains that the batch in flight checks
     std::size_t m_batchBytes = 0; // size of the texts in the batch in flight
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent: last end that the batch in flight records
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -288,6 +288,9 @@
                 case CommitState::NotSent:
                     refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
                     return;
+                case CommitState::Rejected:
+                    refuse(exchange, CallOutcome::Malformed, "table service can't record this", Counter::PoolRefusedMalformed);
+                    return;
                 case CommitState::Unknown:
                     refuse(exchange, CallOutcome::Unsettled, "table service did not confirm the outcome in time", Counter::PoolUnsettled);
                     return;
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -108,6 +108,9 @@
             }
             return;
         }
+        if (now < m_pausedUntil) {
+            return;
+        }
         std::optional<PoolBatch> batch = m_scheduler.takeBatch(now);
         // The next owner can order only starts that were recorded before; the ends that the last batch records are not lost with it.
         const bool release = isReleasing() && !(batch && batch->startsRuns);
@@ -349,6 +352,9 @@
         case CommitState::Conflict:
             onConflict(result, sentAt, now);
             return;
+        case CommitState::Rejected:
+            onRejected(now);
+            return;
         case CommitState::NotSent:
         case CommitState::Unknown:
             m_retryAt = now + m_timing.retryPause;
@@ -356,6 +362,19 @@
         }
     }
 
+    /// Goes on without what the table service can't record, so that it holds up nothing else and the owner's row is renewed.
+    void onRejected(TimePoint now)
+    {
+        m_counters.add(Counter::StoreRejections);
+        m_pendingTransaction.reset();
+        if (!m_carriesBatch || m_writtenRow.owner.empty()) {
+            m_pausedUntil = now + m_timing.retryPause;
+        }
+        if (m_carriesBatch) {
+            m_scheduler.onRejected(now);
+        }
+    }
+
     void finish(std::uint64_t version, TimePoint sentAt, TimePoint now)
     {
         m_mirror.adopt({{std::string(PoolRows::table), std::string(PoolRows::ownerKey), version, encodeOwnerRow(m_writtenRow), false}});
@@ -422,6 +441,7 @@
     bool m_handedOver = false; // the previous owner had released the pool
     TimePoint m_lastWrite{};
     TimePoint m_retryAt{};
+    TimePoint m_pausedUntil{}; // after a rejected transaction without a batch
     Duration m_acquireRetryPause = m_timing.retryPause; // pause after the next failed attempt to acquire
     std::uint64_t m_vacantVersion = 0; // version of the newest processed row without an owner
     TimerId m_checkTimer{};
--- a/src/poolhost/RepeatedCommit.h
+++ b/src/poolhost/RepeatedCommit.h
@@ -93,6 +93,7 @@
         switch (result.state) {
         case CommitState::Committed:
         case CommitState::Conflict:
+        case CommitState::Rejected:
             finish(result);
             return;
         case CommitState::NotSent:
--- a/src/schedule/CellGangs.cpp
+++ b/src/schedule/CellGangs.cpp
@@ -375,6 +375,7 @@
         release(gang, now);
         break;
     case CommitState::Conflict:
+    case CommitState::Rejected:
     case CommitState::Unknown:
         m_actions.emplace_back(RefreshJob{gang.job});
         break;
--- a/standins/RowsModel.cpp
+++ b/standins/RowsModel.cpp
@@ -5,9 +5,27 @@
 namespace banyanlock
 {
 
+bool RowsModel::fits(const TableTransaction &transaction) const
+{
+    std::size_t bytes = 0;
+    for (const RowWrite &write : transaction.writes) {
+        const std::size_t size = write.value.value_or("").size();
+        if (size > limits.rowBytes) {
+            return false;
+        }
+        bytes += size;
+    }
+    return bytes <= limits.transactionBytes && transaction.checks.size() + transaction.writes.size() <= limits.transactionEntries;
+}
+
 CommitResult RowsModel::commit(const TableTransaction &transaction)
 {
     CommitResult result;
+    if (!fits(transaction)) {
+        ++rejections;
+        result.state = CommitState::Rejected;
+        return result;
+    }
     bool holds = true;
     for (const RowCheck &check : transaction.checks) {
         const auto found = rows.find({check.table, check.key});
--- a/standins/RowsModel.h
+++ b/standins/RowsModel.h
@@ -15,6 +15,12 @@
     std::map<std::pair<std::string, std::string>, TableRow> rows; ///< All rows, by table and key; erased ones stay, marked.
     std::uint64_t version = 0; ///< Version of the newest transaction.
     std::uint64_t historyFrom = 0; ///< Changes up to this version are forgotten.
+    TableLimits limits; ///< Transactions beyond them are rejected.
+    std::uint64_t rejections = 0; ///< Transactions rejected so far.
+
+    /// @param transaction A transaction.
+    /// @return Whether it is within the limits.
+    bool fits(const TableTransaction &transaction) const;
 
     /// Commits a transaction.
     /// @param transaction Checks and writes.
--- a/tests/platform/RowStoreTest.cpp
+++ b/tests/platform/RowStoreTest.cpp
@@ -73,6 +73,15 @@
     BOOST_TEST(static_cast<int>(commit().state) == static_cast<int>(CommitState::Unknown));
 }
 
+// Guards against transactions that are repeated for ever although the table service rejects them as such.
+BOOST_AUTO_TEST_CASE(invalidTransactionsCountAsRejected)
+{
+    for (const int status : {400, 403, 413}) {
+        store.status = status;
+        BOOST_TEST(static_cast<int>(commit().state) == static_cast<int>(CommitState::Rejected));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(followReportsChangesErasuresAndLostHistory)
 {
     FollowResult received;
--- a/tests/pool/PoolLifeTest.cpp
+++ b/tests/pool/PoolLifeTest.cpp
@@ -138,6 +138,31 @@
     BOOST_TEST(world.answerFor("job1").reason.find("49152") != std::string::npos);
 }
 
+// Guards against one job whose record the table service rejects for good: the owner repeated that transaction for ever, and nobody's jobs
+// started any more (review case 1).
+BOOST_AUTO_TEST_CASE(jobThatCannotBeRecordedHoldsUpNoOther)
+{
+    PoolWorld world({});
+    world.run(startupTime);
+    world.tableService().limits.rowBytes = 900; // less than the entries assume
+    world.submit("before", makeJob(makeStep(2, 1, 3000)), "normal");
+    world.submit("large", makeJob(makeStep(30, 1, 1000)), "normal");
+    world.submit("urgent", makeJob(makeStep(2, 1, 1000)), "urgent");
+    world.run(fromMilliseconds(6000));
+    world.submit("after", makeJob(makeStep(2, 1, 1000)), "normal");
+    world.run(fromMilliseconds(3000));
+    for (const char *job : {"before", "urgent", "after"}) {
+        BOOST_TEST(static_cast<int>(world.stateOf(job)) == static_cast<int>(GraphState::Completed), job);
+    }
+    BOOST_TEST(world.startsOf("large") == 0U);
+    BOOST_TEST(world.tableService().rejections > 0U);
+    BOOST_TEST(world.tableService().rejections < 20U);
+    world.tableService().limits = TableLimits();
+    world.run(PoolTiming().rejectionPause + fromMilliseconds(3000));
+    BOOST_TEST(static_cast<int>(world.stateOf("large")) == static_cast<int>(GraphState::Completed));
+    BOOST_TEST(world.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(entryPartitionedFromStoreRefusesAtOnce)
 {
     PoolWorld world({});
--- a/tests/soak/RowsServer.cpp
+++ b/tests/soak/RowsServer.cpp
@@ -134,6 +134,10 @@
     if (m_random.chance(m_faults.lostAnswers)) {
         return;
     }
+    if (result.state == CommitState::Rejected) {
+        answer(respond, jsonAnswer(statusBadRequest, Json::object()));
+        return;
+    }
     const bool committed = result.state == CommitState::Committed;
     Json body{{"rowVersion", m_rows.version}};
     if (!committed) {
