Draw small limits of the outside world in a random simulation

Neither of the review's first two cases could be met by any seed, since the virtual world took rows and transactions of any size and listed all ends at once. smallLimitsCauseNoViolation draws, for each seed, the size of a row (0.5 to 4 KB) and of a transaction, its entries, and how many ends a worker lists (1 to 6), beside the faults of randomFaultsCauseNoViolation. It counts how often the limits were met and fails if they never were. The agent's limit of listed ends moves to its timing, so that simulations can set it.

--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -79,7 +79,7 @@
 {
     m_clockAtAnswer = lists.clock;
     m_listsReceivedAt = now;
-    const bool wasTruncated = std::exchange(m_endsTruncated, lists.ends.size() >= maxListedEnds);
+    const bool wasTruncated = std::exchange(m_endsTruncated, lists.ends.size() >= m_timing.maxListedEnds);
     if (wasTruncated != m_endsTruncated) {
         Log::info(m_endsTruncated ? "ends_truncated" : "ends_complete",
                   {{"worker", m_worker->incarnation.worker},
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -16,7 +16,7 @@
 namespace banyanlock
 {
 
-/// Intervals and timeouts of the agent's communication with its worker.
+/// Intervals, timeouts and limits of the agent's communication with its worker.
 struct SupervisorTiming {
     Duration lease
         = fromMilliseconds(6000); ///< Time that the worker's tasks run on after the owner's last renewal; tolerates a takeover of the pool.
@@ -30,6 +30,7 @@
         = fromMilliseconds(30); ///< Delay before the first retries of an unanswered stop; ten times the usual response time.
     std::uint32_t maxOrderAttempts = 4; ///< Maximum sends of a start, and of a stop at the fast interval; even with a third of messages
                                         ///< lost, four in a row rarely are.
+    std::size_t maxListedEnds = banyanlock::maxListedEnds; ///< Number of ends from which lists may be truncated.
     Duration answerMargin = fromMilliseconds(700); ///< Time allowed for an answer beyond the requested wait.
 };
 
--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -125,7 +125,8 @@
     for (const auto &[run, state] : m_running) {
         lists.runs.push_back({run, false, checkpointText(state.saved)});
     }
-    lists.ends.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(m_ends.size(), maxListedEnds)));
+    lists.ends.assign(m_ends.begin(), m_ends.begin() + static_cast<std::ptrdiff_t>(std::min(m_ends.size(), m_maxListedEnds)));
+    m_truncatedLists += m_ends.size() > m_maxListedEnds ? 1 : 0;
     return lists;
 }
 
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -73,6 +73,18 @@
         m_clockRate = rate;
     }
 
+    /// @param count Maximum number of ends that it lists at once.
+    void setMaxListedEnds(std::size_t count)
+    {
+        m_maxListedEnds = count;
+    }
+
+    /// @return How often it had more ends than it lists at once.
+    std::uint64_t truncatedLists() const
+    {
+        return m_truncatedLists;
+    }
+
     /// Gives the worker another room and other labels; it must run nothing.
     /// @param capacity What its tasks may hold together.
     /// @param labels Its labels.
@@ -162,6 +174,8 @@
     std::uint64_t m_fence = 0;
     Duration m_leaseEnd{};
     TimePoint m_bornAt{};
+    std::size_t m_maxListedEnds = maxListedEnds;
+    std::uint64_t m_truncatedLists = 0;
     double m_slowness = 1.0;
     double m_clockRate = 1.0;
     bool m_failing = false;
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -34,6 +34,24 @@
     return options;
 }
 
+/// How often the random simulations met limits of the outside world.
+struct MetLimits {
+    std::uint64_t slicedJobs = 0; ///< Jobs whose progress was in several rows at the end of a simulation.
+    std::uint64_t truncatedLists = 0; ///< Lists of a worker that lacked ends.
+};
+
+/// @return Options of the simulation of a seed whose limits of the outside world are so small that ordinary jobs meet them.
+WorldOptions smallLimits(std::uint64_t seed)
+{
+    WorldOptions options = networkFaults(seed);
+    Random random(seed * 104'729);
+    options.tableLimits.rowBytes = 512 << random.below(4);
+    options.tableLimits.transactionBytes = 8192 << random.below(4);
+    options.tableLimits.transactionEntries = 40 + random.below(60);
+    options.maxListedEnds = 1 + random.below(6);
+    return options;
+}
+
 /// Injects a fault of a worker or its agent: a cut between the two, a successor under another id, or an agent that restarts meanwhile.
 void disturbWorker(PoolWorld &world, Random &random, std::size_t worker)
 {
@@ -66,7 +84,8 @@
 }
 
 /// Simulates a pool under random faults, and checks that no invariant is violated and that every accepted job ends.
-void injectRandomFaults(const WorldOptions &options, bool disturbsWorkers)
+/// @return How often the simulation met limits of the outside world.
+MetLimits injectRandomFaults(const WorldOptions &options, bool disturbsWorkers)
 {
     const std::uint64_t seed = options.seed;
     PoolWorld world(options);
@@ -189,6 +208,15 @@
             BOOST_TEST(hasEnded(world.stateOf(id)), id << " has not ended");
         }
     }
+    BOOST_TEST(world.tableService().rejections == 0U);
+    MetLimits met;
+    for (const auto &[key, row] : world.tableService().rows) {
+        met.slicedJobs += key.second.starts_with(PoolRows::continuationPrefix) && key.second.ends_with("/0") ? 1 : 0;
+    }
+    for (std::size_t index = 0; index < world.workerCount(); ++index) {
+        met.truncatedLists += world.worker(index).truncatedLists();
+    }
+    return met;
 }
 
 /// @return The first seed and the end of the range, from the environment if it is set.
@@ -481,6 +509,25 @@
     }
 }
 
+// Guards against faults that only limits of the outside world bring out: truncated lists of ends, progress in several rows, full
+// transactions (review cases 1 and 2).
+BOOST_AUTO_TEST_CASE(smallLimitsCauseNoViolation)
+{
+    const auto [first, end] = seedRange(30);
+    MetLimits total;
+    for (std::uint64_t seed = first; seed < end; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            const MetLimits met = injectRandomFaults(smallLimits(seed), false);
+            total.slicedJobs += met.slicedJobs;
+            total.truncatedLists += met.truncatedLists;
+        }
+    }
+    BOOST_TEST_MESSAGE("jobs in several rows: " << total.slicedJobs << ", truncated lists: " << total.truncatedLists);
+    BOOST_TEST(total.slicedJobs > 0U);
+    BOOST_TEST(total.truncatedLists > 0U);
+}
+
 BOOST_AUTO_TEST_CASE(reorderedMessagesCauseNoViolation)
 {
     const auto [firstSeed, endSeed] = seedRange(40);
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -85,6 +85,7 @@
         Log::start("world", "test", LogLevel::Info);
         logStarted = true;
     }
+    m_tableService.limits = options.tableLimits;
     writeConfiguration();
     m_agents.resize(options.workers);
     for (std::size_t index = 0; index < options.workers; ++index) {
@@ -102,6 +103,7 @@
             },
             m_checks.makeObserver());
         m_agents[index]->worker->setClockRate(options.workerClockRate);
+        m_agents[index]->worker->setMaxListedEnds(options.maxListedEnds);
         makeAgent(index);
     }
     m_entries.resize(options.entries);
@@ -204,7 +206,9 @@
     ++agent.generation;
     agent.pendingCalls.clear();
     agent.registering = false;
-    agent.supervisor = std::make_unique<WorkerSupervisor>(m_random.bits(), SupervisorTiming(), m_counters);
+    SupervisorTiming timing;
+    timing.maxListedEnds = m_options.maxListedEnds;
+    agent.supervisor = std::make_unique<WorkerSupervisor>(m_random.bits(), timing, m_counters);
     agent.loop->setFlush([this, &agent] {
         flushAgent(agent);
     });
@@ -378,7 +382,7 @@
     if (row == m_tableService.rows.end()) {
         return GraphState::Queued;
     }
-    const std::optional<GraphProgress> progress = decodeGraphProgress(row->second.value);
+    const std::optional<GraphProgress> progress = decodeGraphProgressHead(row->second.value);
     return progress ? progress->state : GraphState::Queued;
 }
 
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -102,6 +102,8 @@
     double slowAnswerRate = 0.0; ///< Fraction of answers that take up to 0.4 s, so that later ones overtake them.
     double lateAnnouncementRate = 0.0; ///< Fraction of announcements that arrive 1 to 12 s late.
     double workerClockRate = 1.0; ///< Rate of the workers' clocks.
+    TableLimits tableLimits; ///< Limits of the table service.
+    std::size_t maxListedEnds = banyanlock::maxListedEnds; ///< Maximum number of ends that a worker lists at once.
 };
 
 /// Simulates a pool in virtual time: entries and agents made of the daemons' own classes, worker models, and a table service. The
--- a/tests/pool/PoolWorldProcesses.h
+++ b/tests/pool/PoolWorldProcesses.h
@@ -26,9 +26,10 @@
         , loop(world.m_now)
         , store(loop, world.m_tableService, world.m_random)
         , mirror(store, loop, world.m_counters)
-        , scheduler(mirror.jobs(), mirror.operators(), WorldPlatform::operatorRows(), PoolTiming(), PlannerPolicy(), world.m_counters)
+        , scheduler(mirror.jobs(), mirror.operators(), WorldPlatform::operatorRows(), PoolTiming(), PlannerPolicy(), world.m_counters,
+                    world.m_options.tableLimits)
         , owner(identity, loop, store, mirror, scheduler, world.m_counters, world.m_latencies)
-        , api(loop, store, mirror, fromMilliseconds(5000), world.m_counters, world.m_latencies)
+        , api(loop, store, mirror, fromMilliseconds(5000), world.m_counters, world.m_latencies, world.m_options.tableLimits)
     {
     }
 
