Acknowledge an end only when no copy of its start can arrive any more

Cause: a copy of a start that got no answer may be executed seconds later. A worker that restarted under its id knows neither its token nor that the run has ended, until its agent's first call. Change: an agent acknowledges the end of a run only 12 s after the last unanswered copy of its start, so that an end that counts can't be followed by such a copy. While the worker's lists are truncated nothing is held.

--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -42,7 +42,7 @@
     if (!outdated) {
         applyLists(*lists, action.sentAt, now);
     }
-    m_nextRenewal = m_ends.empty() ? now : now + m_timing.retryInterval;
+    m_nextRenewal = hasNoListedEnds() ? now : now + m_timing.retryInterval;
 }
 
 void WorkerSupervisor::onListsLost(const RenewWorker &action, const RenewalAnswer &answer, bool otherIncarnation, TimePoint now)
@@ -92,6 +92,7 @@
                                                   return entry.second < sentAt;
                                               })
         != 0;
+    holdEnds(lists.ends);
     std::vector<RunEnd> ends;
     for (const RunEnd &end : lists.ends) {
         if (end.number > m_acknowledgedEnd) {
@@ -136,6 +137,32 @@
     }
 }
 
+void WorkerSupervisor::holdEnds(const std::vector<RunEnd> &ends)
+{
+    // A copy of a start that is executed by the next incarnation would repeat work whose end counts. An end that was never acknowledged
+    // does not count there.
+    for (const RunEnd &end : ends) {
+        const auto late = m_lateStarts.find(end.run);
+        if (late != m_lateStarts.end() && m_heldEnds.try_emplace(end.number, late->second).second) {
+            Log::info("end_held", {{"run", describe(end.run)}, {"number", static_cast<std::int64_t>(end.number)}});
+        }
+    }
+}
+
+std::uint64_t WorkerSupervisor::endToAcknowledge(TimePoint now)
+{
+    const auto isPast = [now](const auto &entry) {
+        return now > entry.second;
+    };
+    std::erase_if(m_lateStarts, isPast);
+    std::erase_if(m_heldEnds, isPast);
+    if (m_endNumbersUncertain) {
+        return 0;
+    }
+    // Truncated lists go on only after an acknowledgement, and the ends behind them matter more.
+    return m_heldEnds.empty() || m_endsTruncated ? m_acknowledgedEnd : std::min(m_acknowledgedEnd, m_heldEnds.begin()->first - 1);
+}
+
 void WorkerSupervisor::reportUnordered(const RunName &run)
 {
     if (isListed(run) || m_starts.contains(run) || m_confirmed.contains(run)) {
@@ -215,15 +242,14 @@
     RenewWorker renewal;
     renewal.epoch = m_epoch;
     renewal.fence = m_fence;
-    renewal.acknowledgedEnd = m_endNumbersUncertain ? 0 : m_acknowledgedEnd;
+    renewal.acknowledgedEnd = endToAcknowledge(now);
     renewal.incarnation = m_worker->incarnation;
     const Duration sinceContact = now - m_ownerContact;
     if (m_runsKnown && isAnswering(now) && m_hasOwnerContact && sinceContact < m_timing.lease) {
         renewal.leaseEnd = workerClock(now) + m_timing.lease - sinceContact;
         m_leaseSentAt = now;
     }
-    const bool waits = m_runsKnown && !m_pollImmediately && m_ends.empty() && !m_endsTruncated && m_renewalEpoch >= m_epoch
-        && (isFenced() || !m_registered);
+    const bool waits = m_runsKnown && !m_pollImmediately && hasNoListedEnds() && m_renewalEpoch >= m_epoch && (isFenced() || !m_registered);
     m_pollImmediately = false;
     renewal.wait = waits ? m_timing.pollWait : Duration();
     renewal.sentAt = now;
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -52,6 +52,8 @@
     m_runs.clear();
     m_ends.clear();
     m_acknowledgedEnd = 0;
+    m_lateStarts.clear();
+    m_heldEnds.clear();
     m_starts.clear();
     m_confirmed.clear();
     m_stops.clear();
@@ -288,6 +290,9 @@
     if (!m_worker || action.incarnation != m_worker->incarnation) {
         return;
     }
+    if (outcome == OrderOutcome::Unknown) {
+        m_lateStarts[action.run] = now + m_timing.lateCallLimit;
+    }
     const auto found = m_starts.find(action.run);
     if (found == m_starts.end()) {
         return;
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -30,6 +30,8 @@
         = fromMilliseconds(30); ///< Delay before the first retries of an unanswered stop; ten times the usual response time.
     std::uint32_t maxOrderAttempts = 4; ///< Maximum sends of a start, and of a stop at the fast interval; even with a third of messages
                                         ///< lost, four in a row rarely are.
+    Duration lateCallLimit = fromMilliseconds(12000); ///< Time within which a call without an answer may still be executed, also by a later
+                                                      ///< incarnation; the longest delay that the users' bench plays.
     std::size_t maxListedEnds = banyanlock::maxListedEnds; ///< Number of ends from which lists may be truncated.
     Duration answerMargin = fromMilliseconds(700); ///< Time allowed for an answer beyond the requested wait.
 };
@@ -203,6 +205,12 @@
         ++m_statusNumber;
     }
 
+    /// @return Whether the worker has no end to list, so that it may wait for one before it answers.
+    bool hasNoListedEnds() const
+    {
+        return m_ends.empty() && m_heldEnds.empty() && !m_endsTruncated;
+    }
+
     void resetIncarnationState();
     void raiseFence();
     bool isFenced() const
@@ -216,6 +224,8 @@
     void refuseStart(const RunName &run, const std::string &reason);
     bool areOutdated(const WorkerLists &lists, TimePoint sentAt) const;
     void applyLists(const WorkerLists &lists, TimePoint sentAt, TimePoint now);
+    void holdEnds(const std::vector<RunEnd> &ends);
+    std::uint64_t endToAcknowledge(TimePoint now);
     void sendStart(PendingOrder &pending, TimePoint now);
     bool canRetryStart(const PendingOrder &pending, const StartTask &action, TimePoint now) const;
     void reportUnordered(const RunName &run);
@@ -260,6 +270,8 @@
     std::vector<RunReport> m_runs;
     std::vector<RunEnd> m_ends;
     std::uint64_t m_acknowledgedEnd = 0;
+    std::map<RunName, TimePoint> m_lateStarts; // runs with an unanswered copy of their start, with the time until which it may be executed
+    std::map<std::uint64_t, TimePoint> m_heldEnds; // numbers of their ends, with the time before which they must not be acknowledged
     std::map<RunName, PendingOrder> m_starts;
     std::map<RunName, TimePoint> m_confirmed; // starts that the latest lists may not contain yet, with the time of confirmation
     std::map<RunName, PendingOrder> m_stops;
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -478,6 +478,46 @@
     BOOST_TEST(supervisor.status(now, 0).number > number);
 }
 
+// Guards against a start after its run has ended: a copy of the start that got no answer can arrive at the next incarnation of the worker,
+// before the agent's first call to it (review case 3).
+BOOST_AUTO_TEST_CASE(endIsAcknowledgedOnlyWhenNoCopyOfItsStartCanArriveAnyMore)
+{
+    const TimePoint unansweredAt = now;
+    BOOST_REQUIRE(takePollAndConfirmStarts().has_value()); // the second copy is answered
+    SuperviseRequest request;
+    request.epoch = 1;
+    request.renews = true;
+    request.acknowledgedIncarnation = workerIncarnation;
+    std::uint64_t acknowledged = 0;
+    std::size_t polls = 0;
+    while (now < unansweredAt + SupervisorTiming().lateCallLimit + fromMilliseconds(500)) {
+        now += fromMilliseconds(50);
+        request.validUntil = now + fromMilliseconds(1000);
+        supervisor.onSupervise(request, now);
+        supervisor.step(now);
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+                ++polls;
+                acknowledged = renewal->acknowledgedEnd;
+                BOOST_TEST((acknowledged == 0 || now > unansweredAt + SupervisorTiming().lateCallLimit));
+                WorkerLists lists;
+                lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+                lists.clock = now - bornAt;
+                if (acknowledged == 0) {
+                    lists.ends = {{1, firstRun, RunEnding::Succeeded, {}}, {2, {{"other", 0, 0, 0}, 1}, RunEnding::Succeeded, {}}};
+                }
+                supervisor.onLists(*renewal, {lists, {}}, now);
+            }
+        }
+        for (const RunEnd &end : supervisor.status(now, 0).ends) {
+            request.acknowledgedEnd = std::max(request.acknowledgedEnd, end.number);
+        }
+    }
+    BOOST_TEST(supervisor.status(now, 0).ends.empty()); // acknowledged ends are not reported again
+    BOOST_TEST(acknowledged == 2U);
+    BOOST_TEST(polls < 80U); // the worker answers at once while it has ends to list
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
