Ignore the end of a task whose job has unreadable progress

What callers would see: no owner. A worker lists the end of a task whose job has ended, and the units in that job's row can't be read: the owner dereferences a null record, and so does each of its successors while the end is listed. Cause: units of watched jobs are decoded when they are needed, and for an ended job that is after its record was found. Found while reading the change of the rows; the row may come from another writer.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -184,7 +184,7 @@
             continue;
         }
         GraphRecord *job = m_jobs.find(task.job);
-        if (hasEnded(job->progress.state) || job->spec.steps[task.step].longRunning
+        if (job == nullptr || hasEnded(job->progress.state) || job->spec.steps[task.step].longRunning
             || task.occurrence < job->progress.finishedOccurrences) {
             continue;
         }
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -293,13 +293,18 @@
     m_batchDomains = std::move(allDomains);
     m_batchJobs[job] = {record->progress.state, count};
     m_dirty.erase(job);
+    beginRecording(job);
+    return true;
+}
+
+void PoolScheduler::beginRecording(const std::string &job)
+{
     for (auto unit = m_units.lower_bound({job, UnitKey()}); unit != m_units.end() && unit->first.first == job; ++unit) {
         if (unit->second.phase == UnitPhase::Planned) {
             unit->second.phase = UnitPhase::Recording;
             m_recording.push_back(unit->first);
         }
     }
-    return true;
 }
 
 void PoolScheduler::addChecks(PoolBatch &batch)
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -242,6 +242,7 @@
     void setAside(const std::string &job, TimePoint now);
     void resumeSetAside(TimePoint now);
     bool addToBatch(PoolBatch &batch, const std::string &job);
+    void beginRecording(const std::string &job);
     void addChecks(PoolBatch &batch);
     ProgressRows encodeProgress(const GraphRecord &job) const;
     bool isBatchDue(TimePoint now) const;
@@ -344,7 +345,7 @@
     std::size_t m_maxJobsInBatch = 0; // lowered after a rejection
     std::map<std::string, TimePoint> m_setAside; // jobs whose progress was rejected, with the time until which it isn't written
     std::set<std::string> m_batchDomains; // failure domains that the batch in flight checks
-    std::size_t m_batchBytes = 0; // size of the texts in the batch in flight
+    std::size_t m_batchBytes = 0; // size of the progress in the batch in flight
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent: last end that the batch in flight records
     std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
     std::map<std::string, TimePoint> m_endedSince; // ended jobs, with the time at which this owner first noticed the end
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -299,6 +299,24 @@
     BOOST_TEST(latestRun() == 2U);
 }
 
+// Guards against an owner that ends because a worker lists the end of a task whose job has ended and has unreadable units.
+BOOST_AUTO_TEST_CASE(endOfATaskWithUnreadableProgressIsIgnored)
+{
+    addJob(makeStep(1, 1, 60000), {});
+    const std::string text = R"({"finished":0,"state":"failed","units":[["odd"]]})";
+    jobs.adopt({std::string(PoolRows::table), "job/job", 3, text, false}, false);
+    acquire();
+    std::uint64_t number = 0;
+    onCall = [&](const CallAgent &call) {
+        WorkerStatus status = makeStatus(1, ++number, true);
+        status.ends.push_back({1, {{"job", 0, 0, 0}, 1}, RunEnding::Succeeded, {}});
+        answer(call, status);
+    };
+    run(fromMilliseconds(500));
+    BOOST_TEST((jobs.find("job") == nullptr));
+    BOOST_TEST(scheduler.isOwner());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
