Place tasks by records of workers

Cause: a last attempt may go to a worker that has just failed another task, a worker that fails all it starts gets a full load again after its quarantine, and one faulty task quarantines good workers.

Change: the library banyanlock_workerrecords keeps evidence per worker life (failures, refusals, lost and slow runs, short lives) and derives the standings Proven, Untested, Doubtful and Barred. PoolRecords.cpp feeds it and logs; the three fields of PoolWorker move to RecentTrouble, whose rules hold unchanged while the records do not act. Setting worker_records (auto, on, off; the new unit Switch), struct PoolParts, six counters, docs. The planner does not yet ask WorkerRecords::mayTakeLastAttempt.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -113,6 +113,14 @@
     {PoolStartsRefused, "banyanlock_pool_starts_refused_total", "", "Starts that a worker or its agent refused."},
     {PoolJobsCompleted, "banyanlock_pool_jobs_total", "result=\"completed\"", "Jobs that ended, by result."},
     {PoolJobsFailed, "banyanlock_pool_jobs_total", "result=\"failed\"", ""},
+    {PoolWorkersProven, "banyanlock_pool_worker_standings_total", "standing=\"proven\"", "Changes of workers' standing, by new standing."},
+    {PoolWorkersUntested, "banyanlock_pool_worker_standings_total", "standing=\"untested\"", ""},
+    {PoolWorkersDoubtful, "banyanlock_pool_worker_standings_total", "standing=\"doubtful\"", ""},
+    {PoolWorkersBarred, "banyanlock_pool_worker_standings_total", "standing=\"barred\"", ""},
+    {PoolFailuresTakenBack, "banyanlock_pool_failures_taken_back_total", "",
+     "Failures removed from workers' records because the task failed on another worker too."},
+    {PoolTrialStartsWithdrawn, "banyanlock_pool_trial_starts_withdrawn_total", "",
+     "Planned starts withdrawn because the worker runs one unit at a time after a bar."},
 }};
 
 constexpr bool isInOrder()
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -115,6 +115,12 @@
     PoolStartsRefused,
     PoolJobsCompleted,
     PoolJobsFailed,
+    PoolWorkersProven,
+    PoolWorkersUntested,
+    PoolWorkersDoubtful,
+    PoolWorkersBarred,
+    PoolFailuresTakenBack,
+    PoolTrialStartsWithdrawn,
     Count,
 };
 
--- a/src/core/SettingKey.cpp
+++ b/src/core/SettingKey.cpp
@@ -1,6 +1,7 @@
 #include "core/SettingKey.h"
 
 #include "core/Endpoint.h"
+#include "core/PartMode.h"
 
 #include <array>
 #include <charconv>
@@ -17,8 +18,8 @@
 
 std::string_view settingUnitName(SettingUnit unit)
 {
-    static constexpr std::array<std::string_view, 10> names{"text",  "address", "list of addresses", "list of texts", "URL", "milliseconds",
-                                                            "bytes", "count",   "percent",           "share"};
+    static constexpr std::array<std::string_view, 11> names{
+        "text", "address", "list of addresses", "list of texts", "URL", "milliseconds", "bytes", "count", "percent", "share", "switch"};
     return names[static_cast<std::size_t>(unit)];
 }
 
@@ -35,6 +36,9 @@
         const bool valid = value.starts_with(scheme) && Endpoint::parse(value.substr(scheme.size())).has_value();
         return valid ? "" : "'" + value + "' is not a URL like http://127.0.0.1:8080";
     }
+    if (unit == SettingUnit::Switch) {
+        return parsePartMode(value).has_value() ? "" : "'" + value + "' is not one of auto, on, off";
+    }
     return {};
 }
 
--- a/src/core/SettingKey.h
+++ b/src/core/SettingKey.h
@@ -24,6 +24,7 @@
     Count,
     Percent,
     Share, ///< Decimal number such as `0.25`, stored in thousandths.
+    Switch, ///< `auto`, `on` or `off`; `parsePartMode` reads it.
 };
 
 /// @param unit Unit to look up.
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -97,10 +97,9 @@
     if (worker.status.worker.incarnation != status->worker.incarnation) {
         worker.processedEnd = 0;
         worker.recordedEnd = 0;
-        worker.consecutiveFailures = 0;
-        worker.suspectedUntil = TimePoint();
-        worker.quarantinedUntil = TimePoint();
+        worker.record->recent = RecentTrouble();
     }
+    recordLife(worker, status->worker.incarnation, now);
     // A new agent process numbers batches from its own start, and may have received one that was numbered for its predecessor.
     const bool sameProcess = status->agentIncarnation == worker.status.agentIncarnation;
     worker.batch = sameProcess ? std::max(worker.batch, status->lastOrderBatch) : status->lastOrderBatch;
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -83,7 +83,7 @@
 bool PoolScheduler::isUsable(const PoolWorker &worker, TimePoint now) const
 {
     return worker.known && worker.status.answering && !worker.status.unfenced && !worker.status.connectionRefused
-        && !worker.status.agentStopping && !worker.status.worker.draining && !isSilent(worker, now) && now >= worker.quarantinedUntil
+        && !worker.status.agentStopping && !worker.status.worker.draining && !isSilent(worker, now) && !isHeldByRecord(worker, now)
         && !m_operators.outDomains.contains(worker.status.worker.failureDomain);
 }
 
@@ -138,7 +138,7 @@
         }
         PlanWorker &view = m_planWorkers[worker->index];
         view.usable = isUsable(*worker, now) && !worker->runsUnknownTask;
-        view.suspect = now < worker->suspectedUntil;
+        view.suspect = m_records.isSuspect(*worker->record, now);
     }
 }
 
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -32,7 +32,7 @@
 }
 
 PoolScheduler::PoolScheduler(GraphTable &jobs, const OperatorView &operators, OperatorRows rows, PoolTiming timing, PlannerPolicy policy,
-                             Counters &counters, TableLimits limits)
+                             Counters &counters, TableLimits limits, PoolParts parts)
     : m_jobs(jobs)
     , m_operators(operators)
     , m_rows(std::move(rows))
@@ -40,6 +40,7 @@
     , m_planner(policy)
     , m_counters(counters)
     , m_limits(limits)
+    , m_records(parts.workerRecords)
 {
 }
 
@@ -52,10 +53,12 @@
     m_earlierOwnersRenewUntil = handedOver ? now : now + m_timing.detachedLimit;
     requestPlan();
     m_workersByIndex.clear();
+    m_records.clear();
     for (auto &[agent, worker] : m_workers) {
         const std::string address = agent;
         worker = PoolWorker();
         worker.agent = address;
+        worker.record = &m_records.add(address);
         worker.lastRenewalSent = m_earlierOwnersRenewUntil;
     }
     restoreRunningUnits(now);
@@ -66,6 +69,7 @@
     m_jobs.decodeOpen();
     for (const auto &[id, job] : m_jobs.open()) {
         for (const auto &[key, progress] : job->progress.units) {
+            considerAttempts(*job, progress);
             if (progress.places.empty()) {
                 continue;
             }
@@ -129,6 +133,7 @@
     }
     PoolWorker worker;
     worker.agent = agent;
+    worker.record = &m_records.add(agent);
     worker.lastRenewalSent = m_earlierOwnersRenewUntil;
     m_workers[agent] = std::move(worker);
     m_workersByIndex.clear();
@@ -175,7 +180,9 @@
     resolveTruncatedLists();
     closeEndedUnits(now);
     if (m_placing && (m_planDue || now - m_plannedAt >= m_timing.maxPlanInterval)) {
+        refreshRecords(now);
         m_planDue = !schedule(now);
+        m_planDue = withdrawExtraTrials(now) || m_planDue;
         m_plannedAt = now;
     }
     sendCalls(now);
@@ -231,6 +238,7 @@
         }
         Log::info("agent_erased", {{"agent", agent}});
         m_workers.erase(worker);
+        m_records.erase(agent);
         m_workersByIndex.clear();
     }
 }
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -6,9 +6,11 @@
 #include "pool/ActiveUnit.h"
 #include "pool/GraphTable.h"
 #include "pool/PoolConfiguration.h"
+#include "pool/PoolParts.h"
 #include "pool/PoolPlanner.h"
 #include "pool/PoolRows.h"
 #include "pool/PoolWorker.h"
+#include "workerrecords/WorkerRecords.h"
 
 #include <cstdint>
 #include <map>
@@ -98,8 +100,9 @@
     /// @param policy Policy of the planner.
     /// @param counters Counters to update.
     /// @param limits Limits of the table service.
+    /// @param parts When each optional part acts.
     PoolScheduler(GraphTable &jobs, const OperatorView &operators, OperatorRows rows, PoolTiming timing, PlannerPolicy policy,
-                  Counters &counters, TableLimits limits = TableLimits());
+                  Counters &counters, TableLimits limits = TableLimits(), PoolParts parts = PoolParts());
 
     /// Acquires ownership of the pool; all rows up to the acquisition have been read.
     /// @param epoch Fencing token.
@@ -278,7 +281,6 @@
     static void orderStop(PoolWorker &worker, const RunName &run, const WorkerIncarnation &incarnation);
     void closeEndedUnits(TimePoint now);
     void close(const ActiveUnit &unit, TimePoint now);
-    void suspect(PoolWorker &worker, const char *reason, TimePoint now);
     bool wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const;
     void stopUnitsOnLeavingWorkers(TimePoint now);
     void recordEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
@@ -292,6 +294,16 @@
     Duration pollWait() const;
     bool isSilent(const PoolWorker &worker, TimePoint now) const;
 
+    // PoolRecords.cpp: evidence about workers
+    void recordLife(PoolWorker &worker, const WorkerIncarnation &incarnation, TimePoint now);
+    void recordEnding(const ActiveUnit &unit, const ActiveMember &member, TimePoint now);
+    void recordFailure(const ActiveUnit &unit, const ActiveMember &member, TimePoint now);
+    void suspect(PoolWorker &worker, const char *reason, TimePoint now);
+    void considerAttempts(const GraphRecord &job, const UnitProgress &progress);
+    void refreshRecords(TimePoint now);
+    bool isHeldByRecord(const PoolWorker &worker, TimePoint now) const;
+    bool withdrawExtraTrials(TimePoint now);
+
     // PoolPlanning.cpp: waiting units and their placement
     /// Waiting units of a job, kept until its progress changes.
     struct WaitingUnits {
@@ -330,6 +342,7 @@
     PoolPlanner m_planner;
     Counters &m_counters;
     TableLimits m_limits;
+    WorkerRecords m_records;
     std::map<std::string, PoolWorker> m_workers; // by agent
     std::map<UnitId, ActiveUnit> m_units;
     std::set<UnitId> m_unitsWithNewEnds; // units with a member whose end has not been evaluated yet
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -224,15 +224,6 @@
     }
 }
 
-void PoolScheduler::suspect(PoolWorker &worker, const char *reason, TimePoint now)
-{
-    if (now >= worker.suspectedUntil) {
-        m_counters.add(Counter::WorkersSuspected);
-        Log::info("worker_suspected", {{"worker", worker.status.worker.incarnation.worker}, {"reason", std::string(reason)}});
-    }
-    worker.suspectedUntil = now + m_timing.suspicionPeriod;
-}
-
 bool PoolScheduler::wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const
 {
     const StepSpec &step = unit.spec();
@@ -250,28 +241,10 @@
             continue;
         }
         m_counters.add(counterOf(*member.ending));
-        PoolWorker *worker = member.worker;
-        if (worker->status.worker.incarnation != member.place.incarnation) {
+        if (member.worker->status.worker.incarnation != member.place.incarnation) {
             continue;
         }
-        if (*member.ending == RunEnding::Succeeded) {
-            worker->consecutiveFailures = 0;
-            if (wasSlow(unit, *worker, now)) {
-                suspect(*worker, "slow", now);
-            }
-        } else if (*member.ending == RunEnding::NeverStarted && unit.stopping != StopReason::Cancelled) {
-            suspect(*worker, "did not start an ordered run", now);
-        } else if (*member.ending == RunEnding::Failed) {
-            suspect(*worker, "failed", now);
-            constexpr std::uint32_t quarantineThreshold = 2; // a single failure may be the task's fault
-            if (++worker->consecutiveFailures >= quarantineThreshold) {
-                worker->quarantinedUntil = now + m_timing.quarantinePeriod;
-                m_counters.add(Counter::WorkersQuarantined);
-                Log::warning("worker_quarantined",
-                             {{"worker", member.place.incarnation.worker},
-                              {"failures_in_row", static_cast<std::int64_t>(worker->consecutiveFailures)}});
-            }
-        }
+        recordEnding(unit, member, now);
     }
     Log::info("unit_ended",
               {{"job", unit.job},
@@ -325,6 +298,7 @@
         if (progress.failures >= job->terms.attemptLimit && !hasEnded(job->progress.state)) {
             finishJob(*job, GraphState::Failed);
         }
+        considerAttempts(*job, progress);
     }
 }
 
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "pool/WorkerStatus.h"
+#include "workerrecords/WorkerRecords.h"
 
 #include <cstdint>
 #include <map>
@@ -36,9 +37,8 @@
     std::uint64_t recordedEnd = 0; ///< Ends up to and including this number are recorded in the table service.
     std::uint64_t workerFence = 0; ///< Latest fencing token that an agent process has used for `fencedIncarnation`.
     WorkerIncarnation fencedIncarnation; ///< Incarnation of the worker that `workerFence` was used for.
-    std::uint32_t consecutiveFailures = 0; ///< Failed tasks since the last successful one.
-    TimePoint suspectedUntil{}; ///< Other workers are preferred until this time.
-    TimePoint quarantinedUntil{}; ///< No task is placed on the worker until this time.
+    PooledRecord *record = nullptr; ///< Evidence about the worker; it is kept as long as the agent is known.
+    WorkerIncarnation recordedIncarnation; ///< Incarnation of the worker that the evidence is about; empty before the first.
     std::map<RunName, TimePoint> unknownRunStops; ///< Runs on it that nobody expects, with the time of the latest stop that was ordered.
     std::vector<PlacedMember> members; ///< Members of active units that are placed on the worker.
     std::uint32_t index = 0; ///< Index of the worker in plans.
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -29,7 +29,7 @@
         , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
         , m_mirror(m_store, m_loop, m_counters)
         , m_scheduler(m_mirror.jobs(), m_mirror.operators(), Platform::operatorRows(), makeTimes(m_settings), makePolicy(m_settings),
-                      m_counters, makeLimits(m_settings))
+                      m_counters, makeLimits(m_settings), makeParts(m_settings))
         , m_owner({m_settings.name, makeIncarnation(), processorsOf(m_settings)}, m_loop, m_store, m_mirror, m_scheduler, m_counters,
                   m_latencies)
         , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters, m_latencies,
@@ -112,6 +112,13 @@
         return policy;
     }
 
+    static PoolParts makeParts(const PoolEntrySettings &settings)
+    {
+        PoolParts parts;
+        parts.workerRecords = parsePartMode(settings.workerRecords).value_or(parts.workerRecords); // checked when the file was read
+        return parts;
+    }
+
     static TableLimits makeLimits(const PoolEntrySettings &settings)
     {
         TableLimits limits;
--- a/src/poolhost/PoolSettings.cpp
+++ b/src/poolhost/PoolSettings.cpp
@@ -28,6 +28,8 @@
         Key{"processor_share", Share, &S::processorShare, 1, 1000, false,
             "Share of its processors that the instance may use; the entries with most processor time own the pool."},
         Key{"processor_cores", Count, &S::processorCores, 1, 1024, false, "Number of processors of the instance."},
+        Key{"worker_records", Switch, &S::workerRecords, 0, 0, false,
+            "Whether placement considers each worker's failures: `auto` (once a unit is down to its last attempt), `on` or `off`."},
     };
     return keys;
 }
--- a/tests/core/SettingsTest.cpp
+++ b/tests/core/SettingsTest.cpp
@@ -1,4 +1,5 @@
 #include "core/Endpoint.h"
+#include "core/PartMode.h"
 #include "core/ResultCode.h"
 #include "core/SettingKey.h"
 
@@ -19,6 +20,7 @@
     std::vector<std::string> peers;
     std::int64_t limit = 10;
     std::int64_t share = 1000;
+    std::string part = "auto";
 };
 
 std::span<const SettingKey<SampleSettings>> sampleKeys()
@@ -31,6 +33,7 @@
         Key{"peers", SettingUnit::AddressList, &S::peers, 0, 0, false, ""},
         Key{"limit_ms", SettingUnit::Milliseconds, &S::limit, 1, 100, false, ""},
         Key{"share", SettingUnit::Share, &S::share, 1, 1000, false, ""},
+        Key{"part", SettingUnit::Switch, &S::part, 0, 0, false, ""},
     };
     return keys;
 }
@@ -102,6 +105,23 @@
     }
 }
 
+// Guards against a misspelt switch that is taken for its default: YAML's `yes` and `On` are not values of a switch.
+BOOST_AUTO_TEST_CASE(switchTakesItsThreeValuesOnly)
+{
+    const std::string good = "name: a\naddress: 127.0.0.1:80\n";
+    for (const PartMode mode : {PartMode::Auto, PartMode::On, PartMode::Off}) {
+        const Result<SampleSettings> result = readText(good + "part: " + std::string(partModeName(mode)) + "\n");
+        BOOST_REQUIRE(isOk(result));
+        BOOST_TEST((parsePartMode(valueOf(result).part) == mode));
+    }
+    for (const char *text : {"yes", "true", "On", "aut", "auto "}) {
+        const std::string value(text);
+        checkReportedFault(good + "part: '" + value + "'\n", ":3: part: '" + value + "' is not one of auto, on, off");
+    }
+    checkReportedFault(good + "part: ''\n", ":3: part: must not be empty");
+    checkReportedFault(good + "part: [on]\n", ":3: part: must be a single value");
+}
+
 BOOST_AUTO_TEST_CASE(allFaultsAreReported)
 {
     const Result<SampleSettings> result = readText("name: ''\naddress: 1\nsize: 3\n");
