Let slow runs leave the standing of a worker

Cause: declared run times are wrong by up to nine tenths, so many sound workers count as slow. As Doubtful they would get no last attempts.

Change: a slow run makes other workers preferred for 6 s and leaves the standing. The log line failure_taken_back and its counter come only while the records act.

Measured: build/test/tests/workerrecords_test: no errors.

--- a/src/pool/PoolRecords.cpp
+++ b/src/pool/PoolRecords.cpp
@@ -104,7 +104,8 @@
 void PoolScheduler::recordFailure(const ActiveUnit &unit, const ActiveMember &member, TimePoint now)
 {
     PoolWorker &worker = *member.worker;
-    if (m_records.addFailure(*worker.record, recordedRunOf(unit, member), now) == FailureCause::Task) {
+    const FailureCause cause = m_records.addFailure(*worker.record, recordedRunOf(unit, member), now);
+    if (cause == FailureCause::Task && m_records.isActing()) {
         m_counters.add(Counter::PoolFailuresTakenBack);
         Log::info("failure_taken_back", {{"run", describe(member.run)}, {"worker", member.place.incarnation.worker}});
     }
--- a/src/workerrecords/WorkerRecord.cpp
+++ b/src/workerrecords/WorkerRecord.cpp
@@ -40,6 +40,9 @@
     if (startedAt >= m_doubtfulStart) {
         m_doubtUntil = TimePoint();
     }
+    if (startedAt > m_slowStart) {
+        m_slowUntil = TimePoint();
+    }
 }
 
 void WorkerRecord::addFailure(const RecordedRun &run, TimePoint now)
@@ -75,8 +78,8 @@
 
 void WorkerRecord::addSlowRun(TimePoint startedAt, TimePoint now)
 {
-    m_doubtUntil = now + m_timing.doubtPeriod;
-    m_doubtfulStart = std::max(m_doubtfulStart, startedAt);
+    m_slowUntil = now + m_timing.doubtPeriod;
+    m_slowStart = std::max(m_slowStart, startedAt);
 }
 
 bool WorkerRecord::takeBackFailures(std::uint64_t task, TimePoint now)
--- a/src/workerrecords/WorkerRecord.h
+++ b/src/workerrecords/WorkerRecord.h
@@ -16,7 +16,7 @@
 enum class WorkerStanding : std::uint8_t {
     Proven, ///< It has completed a run in this life and has not failed since.
     Untested, ///< There is no evidence about this life.
-    Doubtful, ///< It has recently failed, refused, lost or delayed a run, is on trial, or restarts often: other workers are preferred.
+    Doubtful, ///< It has recently failed, refused or lost a run, is on trial, or restarts often: other workers are preferred.
     Barred, ///< It has failed several units: no run starts on it.
 };
 
@@ -32,7 +32,7 @@
 
 /// Periods of worker records.
 struct RecordTiming {
-    Duration doubtPeriod = std::chrono::milliseconds(6000); ///< Time after which a failure, refusal, loss or slow run no longer makes a
+    Duration doubtPeriod = std::chrono::milliseconds(6000); ///< Time after which a failure, refusal or loss no longer makes a
                                                             ///< worker Doubtful; most worker faults last no longer.
     Duration barPeriod = std::chrono::milliseconds(5000); ///< Length of the first bar; it doubles with each repeat.
     Duration maxBarPeriod = std::chrono::milliseconds(20000); ///< Maximum length of a bar. A bar that begins within this time after the
@@ -84,7 +84,8 @@
     /// @param now Current time.
     void addLostRun(TimePoint now);
 
-    /// Records a run that succeeded but took far longer than expected.
+    /// Records a run that succeeded but took far longer than expected. Other workers are preferred for the doubt period, but the standing
+    /// stays: such a run costs no attempt, and most are wrong declarations or stragglers.
     /// @param startedAt When the run was started.
     /// @param now Current time.
     void addSlowRun(TimePoint startedAt, TimePoint now);
@@ -110,6 +111,13 @@
     /// @return The standing by the worker's own evidence; `WorkerRecords::standing` relates it to the rest of the pool.
     WorkerStanding standing(TimePoint now) const;
 
+    /// @param now Current time.
+    /// @return Whether a run was far slower than expected within the doubt period, and no run that started later has succeeded in time.
+    bool wasSlow(TimePoint now) const
+    {
+        return now < m_slowUntil;
+    }
+
     /// @param now Current time.
     /// @return Start of the trial that follows a bar, during which the worker runs one unit at a time; none if it is not on trial.
     std::optional<TimePoint> trialSince(TimePoint now) const;
@@ -136,8 +144,10 @@
     bool m_succeeded = false; // in this life
     TimePoint m_latestGoodStart{}; // start of the latest started run that succeeded
     std::vector<Failure> m_failures; // not cleared by a success
-    TimePoint m_doubtUntil{}; // because of refusals, losses and slow runs
+    TimePoint m_doubtUntil{}; // because of refusals and losses
     TimePoint m_doubtfulStart{}; // a success of a run that started at this time or later clears that doubt
+    TimePoint m_slowUntil{};
+    TimePoint m_slowStart{}; // start of the latest slow run
     std::optional<TimePoint> m_barredUntil; // set until the trial after the bar is passed
     TimePoint m_lastBarEnd{};
     std::uint64_t m_barringTask = 0; // task whose failure began the bar
--- a/src/workerrecords/WorkerRecords.cpp
+++ b/src/workerrecords/WorkerRecords.cpp
@@ -144,7 +144,10 @@
 
 bool WorkerRecords::isSuspect(const PooledRecord &record, TimePoint now) const
 {
-    return m_acting ? standing(record, now) == WorkerStanding::Doubtful : now < record.recent.suspectedUntil;
+    if (!m_acting) {
+        return now < record.recent.suspectedUntil;
+    }
+    return standing(record, now) == WorkerStanding::Doubtful || record.evidence.wasSlow(now);
 }
 
 bool WorkerRecords::isBarred(const PooledRecord &record, TimePoint now) const
