--- a/tests/shares/FairLoadTest.cpp
+++ b/tests/shares/FairLoadTest.cpp
@@ -247,8 +247,8 @@
     }
 }
 
-// Guards against a wait without end: results that are of no use must still start while new work in time takes all room. A group goes first
-// once it has waited for the age limit and the budget is due. The groups submitted before it have at most the load's first 30 s.
+// Guards against a wait without end: results that are of no use must still start while new work in time takes all room. The oldest group
+// goes first once it has waited for the age limit.
 BOOST_AUTO_TEST_CASE(oldestGroupStartsDuringLastingOverload)
 {
     std::vector<Unit> units = makeLoad(4, 5);
