--- a/tests/shares/ShareTableTest.cpp
+++ b/tests/shares/ShareTableTest.cpp
@@ -85,6 +85,7 @@
     BOOST_TEST(started >= 200.0);
     budget.charge(std::numeric_limits<double>::quiet_NaN());
     budget.accrue(fromMilliseconds(3'600'000), cores);
+    BOOST_TEST(budget.isDue());
     budget.charge(20.0); // credit for 10 s at most
     BOOST_TEST(!budget.isDue());
 }
