Report the progress of running tasks to the owner

Cause: workers list how far each task is, and nobody read it, so the time until a running unit ends rested on its declared run time. Change: RunReport carries the percentage and WorkerStatus the age of the worker's list. Agents of earlier versions send neither, which reads as unknown.

--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -34,6 +34,7 @@
     RunName run; ///< The run.
     bool starting = false; ///< The start was ordered but not confirmed by the worker.
     std::string checkpoint; ///< Latest checkpoint that the task can resume from; empty for none.
+    std::uint32_t percent = 0; ///< Progress in percent, 0 to 100; zero if unknown.
 };
 
 /// Maximum number of ends that a worker lists at once.
@@ -97,6 +98,7 @@
     bool connectionRefused = false; ///< The worker's address refuses connections.
     bool agentStopping = false; ///< The agent is shutting down.
     WorkerAnnouncement worker; ///< The worker's latest announcement; the worker id is empty before the first.
+    Duration listsAge{}; ///< Time since the worker reported its runs, when this status was made.
     std::vector<RunReport> runs; ///< Runs that are on the worker or may be.
     std::vector<RunEnd> ends; ///< Ends that are not acknowledged yet.
     std::vector<RunRefusal> refusals; ///< Most recent refusals of starts.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -442,6 +442,7 @@
     status.connectionRefused = m_connectionRefused;
     status.agentStopping = m_stopping;
     status.worker = m_worker.value_or(WorkerAnnouncement());
+    status.listsAge = m_runsKnown ? now - m_listsReceivedAt : Duration::zero();
     status.runs = m_runs;
     status.ends = m_ends;
     for (const auto &[run, pending] : m_starts) {
--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr std::uint32_t maxPercent = 100;
+
 bool isAmount(std::int64_t amount)
 {
     return amount >= 0 && amount <= InputLimits::resource;
@@ -174,12 +176,14 @@
     builder.setUnfenced(status.unfenced);
     builder.setWorkerFence(status.workerFence);
     builder.setLeaving(status.agentStopping);
+    builder.setListsAgeMicroseconds(status.listsAge.count());
     encodeWorker(status.worker, builder);
     auto runs = builder.initRuns(static_cast<unsigned>(status.runs.size()));
     for (unsigned index = 0; index < status.runs.size(); ++index) {
         encodeRun(status.runs[index].run, runs[index].initRun());
         runs[index].setStarting(status.runs[index].starting);
         runs[index].setCheckpoint(status.runs[index].checkpoint);
+        runs[index].setPercent(static_cast<std::uint8_t>(std::min(status.runs[index].percent, maxPercent)));
     }
     auto ends = builder.initEnds(static_cast<unsigned>(status.ends.size()));
     for (unsigned index = 0; index < status.ends.size(); ++index) {
@@ -213,9 +217,11 @@
     status.unfenced = reader.getUnfenced();
     status.workerFence = reader.getWorkerFence();
     status.agentStopping = reader.getLeaving();
+    status.listsAge = std::clamp(Duration(reader.getListsAgeMicroseconds()), Duration::zero(), InputLimits::span);
     status.worker = decodeWorker(reader);
     for (const auto report : reader.getRuns()) {
-        status.runs.push_back({decodeRun(report.getRun()), report.getStarting(), report.getCheckpoint().cStr()});
+        status.runs.push_back({decodeRun(report.getRun()), report.getStarting(), report.getCheckpoint().cStr(),
+                               std::min<std::uint32_t>(report.getPercent(), maxPercent)});
     }
     for (const auto end : reader.getEnds()) {
         status.ends.push_back({end.getNumber(), decodeRun(end.getRun()), decodeEnding(end.getEnding()), end.getCheckpoint().cStr()});
--- a/src/rpc/banyanlock.capnp
+++ b/src/rpc/banyanlock.capnp
@@ -123,6 +123,7 @@
   run @0 :RunName;
   starting @1 :Bool;
   checkpoint @2 :Text;
+  percent @3 :UInt8;
 }
 
 struct RunEnd {
@@ -166,6 +167,7 @@
   unfenced @24 :Bool;
   workerFence @25 :UInt64;
   endsTruncated @26 :Bool;
+  listsAgeMicroseconds @27 :Int64;
 }
 
 interface SupervisorRpc {
