--- a/src/graph/Resources.h
+++ b/src/graph/Resources.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
+#include <utility>
 
 namespace banyanlock
 {
@@ -43,6 +45,20 @@
         return need.processors <= processors && need.memory <= memory && need.accelerators <= accelerators;
     }
 
+    /// @param need Amounts that each task needs.
+    /// @return Number of tasks that fit here; zero if a resource is overdrawn.
+    std::int64_t countOf(const Resources &need) const
+    {
+        std::int64_t count = unlimitedTasks;
+        for (const auto &[amount, each] :
+             {std::pair(processors, need.processors), std::pair(memory, need.memory), std::pair(accelerators, need.accelerators)}) {
+            count = each > 0 ? std::min(count, std::max<std::int64_t>(amount, 0) / each) : amount < 0 ? 0 : count;
+        }
+        return count;
+    }
+
+    static constexpr std::int64_t unlimitedTasks = 1'000'000; ///< Result of `countOf` for tasks that need nothing.
+
     /// @return Weight in core-seconds per second; an accelerator counts as eight cores.
     double coreEquivalents() const
     {
