Hold room for urgent units and blocked gangs, and use learned run times and shares

Cause: an urgent gang waited up to 1.2 s before it preempted while lower priorities filled the room it waited for, so the youngest runs were stopped; gangs that no rack can hold waited for one; preempted units started again at once; blocked gangs collected nothing; the order and the waits rested on declared run times. Change: the planner holds room (hold_room), waits only if running units end in time, keeps racks for likely urgent units, lets preempted units back off and gangs span racks at once; urgent units take fast workers first (worker_speeds); slack and objective follow learned run times (learned_run_times); groups are ordered by what their results are worth and by workspaces' shares (fair_shares). Each acts on evidence, or as its setting says.

--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -110,6 +110,8 @@
     PoolRunsAdopted,
     PoolRunsUnordered,
     PoolPreemptions,
+    PoolEarlyPreemptions,
+    PoolShareChanges,
     PoolOrdersFenced,
     PoolStartsRepeated,
     PoolStartsRefused,
--- a/src/pool/ActiveUnit.h
+++ b/src/pool/ActiveUnit.h
@@ -22,6 +22,10 @@
     TimePoint startExpiredAt{}; ///< After this time an order in flight can no longer start it.
     std::optional<RunEnding> ending; ///< How it ended; none while it may still run.
     std::string checkpoint; ///< Latest checkpoint that the task can resume from; empty for none.
+    std::uint32_t percent = 0; ///< Newest progress that its worker has reported, in percent; zero if unknown.
+    TimePoint percentAt{}; ///< When the worker reported it.
+    std::uint32_t firstPercent = 0; ///< Progress from which the pace is measured: zero for a run from the beginning.
+    TimePoint firstPercentAt{}; ///< When the run had made that progress; zero before it is known.
 };
 
 /// Why a unit is stopped.
@@ -56,6 +60,8 @@
     std::vector<ActiveMember> members; ///< One member for each task.
     StopReason stopping = StopReason::None; ///< Why it is being stopped.
     TimePoint startedAt{}; ///< When its start was ordered, or when this owner took it over.
+    bool resumed = false; ///< It resumed from a checkpoint.
+    bool restored = false; ///< It was taken over from an earlier owner, so its start time is unknown.
     TimePoint nextStop{}; ///< When to send the stops next.
 
     /// @return The step.
--- a/src/pool/PlanCapacity.cpp
+++ b/src/pool/PlanCapacity.cpp
@@ -49,7 +49,7 @@
         m_rackAccelerators[rack->second] += usableAccelerators(worker.free);
         ServicePool &pool = m_services[worker.service];
         pool.accelerators += usableAccelerators(worker.free);
-        (worker.suspect ? pool.suspect : pool.trusted).insert(keyOf(index));
+        pool.ranked[static_cast<std::size_t>(classOf(worker))].insert(keyOf(index));
     }
 }
 
@@ -70,7 +70,7 @@
     const PlanWorker &worker = m_workers[index];
     BANYANLOCK_ASSERT(worker.usable);
     ServicePool &pool = m_services.find(worker.service)->second;
-    std::set<FitKey> &ranked = worker.suspect ? pool.suspect : pool.trusted;
+    std::set<FitKey> &ranked = pool.ranked[static_cast<std::size_t>(classOf(worker))];
     auto node = ranked.extract(keyOf(index));
     const std::int64_t change = usableAccelerators(free) - usableAccelerators(m_free[index]);
     pool.accelerators += change;
--- a/src/pool/PlanCapacity.h
+++ b/src/pool/PlanCapacity.h
@@ -2,6 +2,8 @@
 
 #include "pool/PlanTypes.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -82,17 +84,21 @@
     /// Finds the worker that a task leaves with the fewest free accelerators, then the fewest free processors. Suspect workers come last.
     /// @param service Service of the task.
     /// @param demand Demand of the task.
+    /// @param urgent Whether kept and fast workers are tried before slow ones; else slow ones first, so that the others remain free.
     /// @param isAcceptable Whether the task may run on a worker, by index.
     /// @return Index of the worker, or nothing if the task fits nowhere.
     template <typename Predicate>
-    std::optional<std::uint32_t> findBestFit(std::string_view service, const Resources &demand, Predicate isAcceptable) const
+    std::optional<std::uint32_t> findBestFit(std::string_view service, const Resources &demand, bool urgent, Predicate isAcceptable) const
     {
         const auto pool = m_services.find(service);
         if (pool == m_services.end()) {
             return std::nullopt;
         }
-        for (const bool suspect : {false, true}) {
-            const std::set<FitKey> &ranked = suspect ? pool->second.suspect : pool->second.trusted;
+        using enum WorkerClass;
+        static constexpr std::array urgentOrder{Kept, Fast, Slow, Suspect};
+        static constexpr std::array otherOrder{Slow, Fast, Kept, Suspect};
+        for (const WorkerClass workerClass : urgent ? urgentOrder : otherOrder) {
+            const std::set<FitKey> &ranked = pool->second.ranked[static_cast<std::size_t>(workerClass)];
             for (auto entry = ranked.lower_bound({demand.accelerators, demand.processors, 0}); entry != ranked.end(); ++entry) {
                 if (m_free[entry->worker].fits(demand) && isAcceptable(entry->worker)) {
                     return entry->worker;
@@ -132,9 +138,23 @@
         auto operator<=>(const FitKey &) const = default; // NOLINT(modernize-use-nullptr): false alarm on defaulted comparisons
     };
 
+    /// Workers of a class are alike but for their free resources.
+    enum class WorkerClass : std::uint8_t {
+        Kept,
+        Fast,
+        Slow,
+        Suspect,
+        Count,
+    };
+
+    static WorkerClass classOf(const PlanWorker &worker)
+    {
+        using enum WorkerClass;
+        return worker.suspect ? Suspect : worker.kept ? Kept : worker.slow ? Slow : Fast;
+    }
+
     struct ServicePool {
-        std::set<FitKey> trusted;
-        std::set<FitKey> suspect;
+        std::array<std::set<FitKey>, static_cast<std::size_t>(WorkerClass::Count)> ranked; // by class
         std::int64_t accelerators = 0; // free ones, without those of workers that are short of them
     };
 
--- a/src/pool/PlanTypes.h
+++ b/src/pool/PlanTypes.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "graph/GraphRecord.h"
+#include "shares/GroupOrder.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,10 +16,14 @@
 struct PlanWorker {
     Resources free; ///< Resources that are free now.
     Resources stopping; ///< Resources of units that are being stopped; they become free soon.
+    Resources capacity; ///< Total resources of the worker; zero if unknown.
     std::string rack; ///< Rack label of the worker.
     std::span<const std::string> labels; ///< All labels.
     std::string service; ///< Service whose tasks the worker runs.
     bool usable = false; ///< Whether tasks may be started on it.
+    bool slow = false; ///< Its tasks take clearly longer than those of other workers.
+    bool kept = false; ///< Its free room is kept for urgent units.
+    bool takesLastAttempts = true; ///< Units that fail their job with one more failure may be placed on it.
     bool suspect = false; ///< It has recently failed, refused a start or been slow: other workers are preferred.
 };
 
@@ -32,6 +37,10 @@
     Duration waited{}; ///< Time since the step became ready.
     Duration slack{}; ///< Time until the units must start to meet the job's objective; negative if it is too late.
     std::vector<std::uint32_t> onWorker; ///< Tasks of the step on each worker; empty if the step has no spread limit.
+    Reach reach = Reach::InTime; ///< What the result is expected to be worth.
+    Duration needed{}; ///< Expected length of the job's remaining critical path.
+    Duration expected{}; ///< Expected run time of a unit.
+    bool lastAttempt = false; ///< A further failed run of a unit fails the job.
 
     /// @return The step.
     const StepSpec &spec() const
@@ -47,6 +56,7 @@
     std::uint32_t priority = 0; ///< Priority of its queue; 0 is the highest.
     bool guaranteed = false; ///< Whether the job is within the guarantee of its workspace.
     double lostWork = 0.0; ///< Work that a stop loses, in core-seconds.
+    Duration remaining{}; ///< Expected time until it ends by itself.
 };
 
 /// A placed unit.
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -230,6 +230,36 @@
     m_unitsWithNewEnds.insert({unit.job, unit.key});
 }
 
+void PoolScheduler::updateProgress(const ActiveUnit &unit, ActiveMember &member, const RunReport &report, const PoolWorker &worker)
+{
+    if (report.percent == 0 || report.starting) {
+        return;
+    }
+    member.percent = report.percent;
+    member.percentAt = worker.statusReceivedAt - worker.status.listsAge;
+    if (member.firstPercentAt == TimePoint()) {
+        const bool fromBeginning = !unit.restored && !unit.resumed;
+        member.firstPercent = fromBeginning ? 0 : report.percent;
+        member.firstPercentAt = fromBeginning ? unit.startedAt : member.percentAt;
+    }
+    // Rounding and the delay of the start make earlier projections inaccurate.
+    constexpr std::uint32_t minPercent = 25;
+    const std::optional<Duration> projected = projectRunTime(member);
+    if (projected && member.percent >= minPercent && unit.members.size() == 1 && !unit.spec().longRunning && isNearData(unit)) {
+        m_speeds.addTask({unit.job, unit.key.step}, worker.agent, unit.key.index, *projected);
+    }
+}
+
+std::optional<Duration> PoolScheduler::projectRunTime(const ActiveMember &member)
+{
+    constexpr std::uint32_t minProgress = 10;
+    constexpr std::int64_t whole = 100;
+    if (member.firstPercentAt == TimePoint() || member.percent < member.firstPercent + minProgress) {
+        return std::nullopt;
+    }
+    return (member.percentAt - member.firstPercentAt) * whole / static_cast<std::int64_t>(member.percent - member.firstPercent);
+}
+
 void PoolScheduler::updateMember(const PlacedMember &placed, const PoolWorker &worker)
 {
     const ActiveUnit &unit = *placed.unit;
@@ -273,6 +303,7 @@
         if (!report->checkpoint.empty()) {
             member.checkpoint = report->checkpoint;
         }
+        updateProgress(unit, member, *report, worker);
         return;
     }
     if (mayOmitEnds(status) && !isDecided(unit)) {
--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -193,7 +193,8 @@
         }
         // Among workers with the same cost, the tightest fit wins.
         constexpr double tieWeight = 1e-6;
-        return cost + (candidate.suspect ? m_policy.suspectWorkerCost : 0.0) + tieWeight * leftoverScore(left, demand);
+        return cost + (candidate.suspect ? m_policy.suspectWorkerCost : 0.0) + (candidate.slow ? m_policy.slowWorkerCost : 0.0)
+            + tieWeight * leftoverScore(left, demand);
     }
 
     const PlannerPolicy &m_policy;
@@ -207,7 +208,8 @@
 bool PoolPlanner::isEligible(const PlanGroup &group, const PlanWorker &worker)
 {
     const StepSpec &step = group.spec();
-    return worker.usable && worker.service == group.job->terms.service
+    return worker.usable && worker.service == group.job->terms.service && (!group.lastAttempt || worker.takesLastAttempts)
+        && (!worker.kept || isUrgent(group) || step.homeRack == worker.rack)
         && (step.requiredLabel.empty() || std::ranges::find(worker.labels, step.requiredLabel) != worker.labels.end());
 }
 
@@ -229,6 +231,23 @@
     return group.guaranteed && !victim.guaranteed;
 }
 
+bool PoolPlanner::isUrgent(const PlanGroup &group)
+{
+    return group.job->terms.priority == 0;
+}
+
+bool PoolPlanner::startsNow(const PlanGroup &group, const PlanState &state, const Placement &placement)
+{
+    const Resources &demand = group.spec().demand;
+    return placement.stops.empty() && std::ranges::all_of(placement.workers, [&](std::uint32_t worker) {
+               Resources need;
+               for (const std::uint32_t other : placement.workers) {
+                   need += other == worker ? demand : Resources();
+               }
+               return state.capacity.free(worker).fits(need);
+           });
+}
+
 bool PoolPlanner::isPlain(const StepSpec &step)
 {
     return step.requiredLabel.empty() && step.spreadLimit == 0;
@@ -256,6 +275,20 @@
             return true;
         }
     }
+    if (state.options.holdRoom && step.homeRack.empty()) {
+        const bool someRackCanHold = std::ranges::any_of(state.capacity.racks(), [&](const std::vector<std::uint32_t> &rack) {
+            std::int64_t members = 0;
+            for (const std::uint32_t worker : rack) {
+                if (isEligible(group, state.capacity.worker(worker))) {
+                    members += state.capacity.worker(worker).capacity.countOf(step.demand);
+                }
+            }
+            return members >= membersOf(step);
+        });
+        if (!someRackCanHold) {
+            return true;
+        }
+    }
     // The group waits for its preferred rack for half of the time that running elsewhere would cost.
     const double loss = (m_policy.remoteFactor - 1.0) * static_cast<double>(step.estimate.count());
     return static_cast<double>(group.waited.count()) > loss / 2;
@@ -279,7 +312,11 @@
                 continue;
             }
             constexpr double suspectPenalty = 1e6; // exceeds any leftover score
-            const double score = leftoverScore(free[position], step.demand) + (candidate.suspect ? suspectPenalty : 0.0);
+            constexpr double keptPenalty = 5e4; // exceeds the next
+            constexpr double speedPenalty = 1e4; // exceeds any leftover score, too
+            const double score = leftoverScore(free[position], step.demand) + (candidate.suspect ? suspectPenalty : 0.0)
+                + (candidate.slow == isUrgent(group.group) ? speedPenalty : 0.0)
+                + (candidate.kept != isUrgent(group.group) ? keptPenalty : 0.0);
             if (score < best) {
                 best = score;
                 bestPosition = position;
@@ -304,9 +341,10 @@
         return false;
     }
     for (std::uint32_t member = 0; member < members; ++member) {
-        const std::optional<std::uint32_t> best = state.capacity.findBestFit(service, step.demand, [&](std::uint32_t worker) {
-            return isEligible(group.group, state.capacity.worker(worker)) && !exceedsSpread(group, placement.workers, worker);
-        });
+        const std::optional<std::uint32_t> best
+            = state.capacity.findBestFit(service, step.demand, isUrgent(group.group), [&](std::uint32_t worker) {
+                  return isEligible(group.group, state.capacity.worker(worker)) && !exceedsSpread(group, placement.workers, worker);
+              });
         if (!best) {
             break;
         }
@@ -436,12 +474,164 @@
     state.refused.clear(); // a reservation can end a shortage of single resources
 }
 
-PoolPlan PoolPlanner::plan(std::span<const PlanGroup> groups, std::span<const PlanWorker> workers,
-                           std::span<const PlanVictim> victims) const
+void PoolPlanner::hold(const PlanGroup &group, PlanState &state, const Placement &placement)
+{
+    for (const std::uint32_t worker : placement.workers) {
+        state.capacity.reserve(worker, group.spec().demand);
+    }
+    state.refused.clear();
+}
+
+/// Times at which running units leave room for the members of a blocked gang.
+class PoolPlanner::ReleaseForecast
+{
+public:
+    ReleaseForecast(const GroupState &group, const PlanState &state)
+        : m_group(group)
+        , m_state(state)
+    {
+    }
+
+    /// @param workers Indexes of the workers that the gang may use.
+    /// @param placement Receives the workers on which the gang can start first; its cost is the work that held room leaves undone.
+    /// @return Time until it can start there, or nothing if the running units never leave it enough room.
+    std::optional<Duration> findAmong(std::span<const std::uint32_t> workers, Placement &placement) const
+    {
+        std::vector<Release> releases;
+        for (const std::uint32_t worker : workers) {
+            addReleases(worker, releases);
+        }
+        const std::uint32_t members = membersOf(m_group.group.spec());
+        if (releases.size() < members) {
+            return std::nullopt;
+        }
+        std::ranges::stable_sort(releases, {}, &Release::after);
+        releases.resize(members);
+        const Duration start = releases.back().after;
+        constexpr double microsecondsPerSecond = 1e6;
+        for (const Release &release : releases) {
+            placement.workers.push_back(release.worker);
+            placement.cost += m_group.group.spec().demand.coreEquivalents() * static_cast<double>((start - release.after).count())
+                / microsecondsPerSecond;
+        }
+        return start;
+    }
+
+private:
+    /// Room for one more member.
+    struct Release {
+        Duration after{};
+        std::uint32_t worker = 0;
+    };
+
+    void addReleases(std::uint32_t worker, std::vector<Release> &releases) const
+    {
+        const PlanWorker &candidate = m_state.capacity.worker(worker);
+        const Resources &demand = m_group.group.spec().demand;
+        if (!isEligible(m_group.group, candidate) || candidate.suspect) {
+            return;
+        }
+        std::vector<std::size_t> running;
+        for (const std::size_t victim : m_state.victimsOn[worker]) {
+            if (!m_state.stopped[victim]) {
+                running.push_back(victim);
+            }
+        }
+        std::ranges::stable_sort(running, {}, [&](std::size_t victim) {
+            return m_state.victims[victim].remaining;
+        });
+        Resources left = m_state.capacity.free(worker) + m_state.capacity.stopping(worker);
+        std::int64_t members = addMembers(worker, Duration::zero(), left.countOf(demand), 0, releases);
+        for (const std::size_t victim : running) {
+            for (const std::uint32_t place : m_state.victims[victim].workers) {
+                if (place == worker) {
+                    left += m_state.victims[victim].demand;
+                }
+            }
+            members = addMembers(worker, m_state.victims[victim].remaining, left.countOf(demand), members, releases);
+        }
+    }
+
+    std::int64_t addMembers(std::uint32_t worker, Duration after, std::int64_t fitting, std::int64_t members,
+                            std::vector<Release> &releases) const
+    {
+        const std::uint32_t limit = m_group.group.spec().spreadLimit;
+        const std::uint32_t before = limit != 0 && worker < m_group.onWorker.size() ? m_group.onWorker[worker] : 0;
+        while (members < fitting && members < membersOf(m_group.group.spec()) && (limit == 0 || before + members < limit)) {
+            releases.push_back({after, worker});
+            ++members;
+        }
+        return members;
+    }
+
+    const GroupState &m_group;
+    const PlanState &m_state;
+};
+
+std::optional<Duration> PoolPlanner::findEarliestStart(const GroupState &group, PlanState &state, Placement &placement) const
+{
+    const StepSpec &step = group.group.spec();
+    indexVictims(state);
+    const ReleaseForecast forecast(group, state);
+    std::optional<Duration> start;
+    const auto consider = [&](std::span<const std::uint32_t> workers) {
+        Placement candidate;
+        const std::optional<Duration> after = forecast.findAmong(workers, candidate);
+        if (after && (!start || *after < *start)) {
+            start = after;
+            placement = std::move(candidate);
+        }
+    };
+    if (!step.homeRack.empty()) {
+        consider(state.capacity.workersOfRack(step.homeRack));
+    } else if (step.gang && step.preferOneRack) {
+        for (const std::vector<std::uint32_t> &rack : state.capacity.racks()) {
+            consider(rack);
+        }
+    }
+    if (!start) {
+        consider(state.capacity.usableWorkers());
+    }
+    return start;
+}
+
+bool PoolPlanner::holdUntilFree(const GroupState &group, PlanState &state) const
+{
+    Placement placement;
+    const std::optional<Duration> start = findEarliestStart(group, state, placement);
+    const Duration longest = std::min(group.group.slack - m_policy.startDelay, m_policy.maxPreemptionWait - group.group.waited);
+    if (!start || *start > longest) {
+        return false;
+    }
+    hold(group.group, state, placement);
+    return true;
+}
+
+void PoolPlanner::holdForGang(const GroupState &group, PlanState &state) const
+{
+    const StepSpec &step = group.group.spec();
+    if (!state.held.insert({group.group.job->terms.service, group.group.job->terms.priority}).second) {
+        return;
+    }
+    Placement placement;
+    if (!findEarliestStart(group, state, placement)) {
+        return;
+    }
+    constexpr double microsecondsPerSecond = 1e6;
+    const double ownWork = step.demand.coreEquivalents() * static_cast<double>(membersOf(step))
+        * static_cast<double>(group.group.expected.count()) / microsecondsPerSecond;
+    if (placement.cost <= ownWork * m_policy.maxIdleWorkRatio) {
+        hold(group.group, state, placement);
+    }
+}
+
+PoolPlan PoolPlanner::plan(std::span<const PlanGroup> groups, std::span<const PlanWorker> workers, std::span<const PlanVictim> victims,
+                           const PlanOptions &options) const
 {
     PoolPlan plan;
-    PlanState state{PlanCapacity(workers), victims, std::vector<bool>(victims.size(), false), {}, {}};
-    for (const std::size_t groupIndex : planningOrder(groups)) {
+    PlanState state{PlanCapacity(workers), victims, std::vector<bool>(victims.size(), false), {}, {}, options, {}};
+    BANYANLOCK_ASSERT(options.order.empty() || options.order.size() == groups.size());
+    for (const std::size_t groupIndex : options.order.empty() ? planningOrder(groups) : options.order) {
         if (plan.starts.size() >= m_policy.maxStarts) {
             plan.complete = false;
             break;
@@ -461,6 +651,9 @@
             }
             const bool missed = group.slack < Duration::zero();
             if (group.job->terms.priority != 0 || (missed && !group.guaranteed)) {
+                if (options.holdRoom && membersOf(group.spec()) > 1) {
+                    holdForGang(placing, state);
+                }
                 break; // the other units of the group are interchangeable with this one
             }
             indexVictims(state);
@@ -471,8 +664,15 @@
             if (!findByStopping(placing, state, *search, forced)) {
                 break;
             }
-            if (canWait(group) && !forced.stops.empty()) {
-                break; // running units may end in time without preemption
+            if (options.holdRoom && startsNow(group, state, forced)) {
+                take(placing, state, forced);
+                search->onPlaced(forced);
+                plan.starts.push_back({groupIndex, index, std::move(forced.workers)});
+                continue;
+            }
+            // Running units may end in time without preemption.
+            if (canWait(group) && !forced.stops.empty() && (!options.holdRoom || holdUntilFree(placing, state))) {
+                break;
             }
             reserve(group, state, forced);
             search->onPlaced(forced);
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -6,6 +6,7 @@
 #include "pool/PoolScheduler.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace banyanlock
@@ -106,6 +107,7 @@
     PlanWorker &view = m_planWorkers[worker.index];
     view = PlanWorker();
     view.free = worker.status.worker.capacity;
+    view.capacity = worker.status.worker.capacity;
     view.rack = rackOf(worker.status.worker);
     view.labels = worker.status.worker.labels;
     view.service = worker.status.worker.service;
@@ -132,13 +134,17 @@
 
 void PoolScheduler::updatePlanWorkers(TimePoint now)
 {
+    const bool uneven = usesWorkerSpeeds();
     for (PoolWorker *worker : m_workersByIndex) {
         if (worker->resourcesChanged) {
             addUpResources(*worker);
         }
         PlanWorker &view = m_planWorkers[worker->index];
         view.usable = isUsable(*worker, now) && !worker->runsUnknownTask;
-        view.suspect = m_records.isSuspect(*worker->record, now);
+        view.suspect = m_records.isSuspect(*worker->record, now) || (uneven && m_speeds.isFaulty(worker->agent));
+        view.slow = uneven && m_speeds.isSlow(worker->agent);
+        view.kept = false;
+        view.takesLastAttempts = m_records.mayTakeLastAttempt(*worker->record, now);
     }
 }
 
@@ -181,6 +187,7 @@
 void PoolScheduler::collectGroups(const GraphRecord &job, WaitingUnits &waiting, TimePoint now) const
 {
     waiting.groups.clear();
+    waiting.collectAgainAt = TimePoint();
     waiting.changed = job.spec.repetition.count != 0; // the next occurrence becomes due without a change of progress
     if (waiting.criticalPaths.empty()) {
         waiting.criticalPaths = criticalPathsOf(job.spec);
@@ -196,10 +203,35 @@
             if (!isReady(job, occurrence, job.spec.steps[step])) {
                 continue;
             }
-            PlanGroup group = makeGroup(job, occurrence, step);
-            if (!group.indexes.empty()) {
-                waiting.groups.push_back(std::move(group));
-            }
+            separateLastAttempts(job, makeGroup(job, occurrence, step), waiting, now);
+        }
+    }
+}
+
+void PoolScheduler::separateLastAttempts(const GraphRecord &job, PlanGroup group, WaitingUnits &waiting, TimePoint now) const
+{
+    PlanGroup last = group;
+    last.lastAttempt = true;
+    last.indexes.clear();
+    std::erase_if(group.indexes, [&](std::uint32_t index) {
+        const UnitKey key{group.occurrence, group.step, index};
+        if (const std::optional<TimePoint> until = m_backOff.delayedUntil(job.id, key, now)) {
+            waiting.collectAgainAt = waiting.collectAgainAt == TimePoint() ? *until : std::min(waiting.collectAgainAt, *until);
+            return true;
+        }
+        // Units of a step with a spread limit stay in one group, since the planner counts the step's tasks on a worker by group.
+        const auto failure = m_lastAttemptsUntil.find({job.id, key});
+        if (group.spec().spreadLimit != 0 || failure == m_lastAttemptsUntil.end() || now >= failure->second) {
+            return false;
+        }
+        waiting.collectAgainAt
+            = waiting.collectAgainAt == TimePoint() ? failure->second : std::min(waiting.collectAgainAt, failure->second);
+        last.indexes.push_back(index);
+        return true;
+    });
+    for (PlanGroup *part : {&last, &group}) {
+        if (!part->indexes.empty()) {
+            waiting.groups.push_back(std::move(*part));
         }
     }
 }
@@ -212,14 +244,29 @@
             continue;
         }
         WaitingUnits &waiting = m_waiting[job];
-        if (waiting.changed) {
+        if (waiting.changed || (waiting.collectAgainAt != TimePoint() && now >= waiting.collectAgainAt)) {
             collectGroups(*job, waiting, now);
         }
+        if (m_runTimes.contradictedKeys() > 0 && !waiting.groups.empty()) {
+            std::vector<Duration> runTimes;
+            for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
+                runTimes.push_back(forecastOf(*job, step).expected);
+            }
+            waiting.criticalPaths = criticalPathsOf(job->spec, runTimes);
+            waiting.objective = objectiveOf(job->terms, std::ranges::max(waiting.criticalPaths));
+        }
         for (PlanGroup &group : waiting.groups) {
-            const auto since = m_waitingSince.try_emplace({id, {group.occurrence, group.step, 0}}, now).first;
+            const auto [since, arrived] = m_waitingSince.try_emplace({id, {group.occurrence, group.step, 0}}, now);
+            if (arrived && job->terms.priority == 0) {
+                const StepSpec &step = group.spec();
+                m_urgentDemand.addArrival(step.demand.accelerators * step.tasks, forecastOf(*job, group.step).expected, now);
+            }
             group.waited = now - since->second;
             group.slack = slackOf(*job, waiting, group.occurrence, group.step, now);
             group.guaranteed = guaranteed.contains(job);
+            group.expected = forecastOf(*job, group.step).expected;
+            group.needed = waiting.criticalPaths[group.step];
+            group.reach = reachOf(waiting.objective, waiting.objective - group.slack - group.needed, group.needed);
             groups.push_back(group);
         }
     }
@@ -245,6 +292,7 @@
         constexpr double microsecondsPerSecond = 1e6;
         victim.lostWork = step.demand.coreEquivalents() * static_cast<double>(unit.members.size()) * static_cast<double>(lost.count())
             / microsecondsPerSecond;
+        victim.remaining = remainingOf(unit, now);
         for (const ActiveMember &member : unit.members) {
             if (!member.ending) {
                 victim.workers.push_back(member.worker->index);
@@ -267,21 +315,27 @@
         return true;
     }
     updatePlanWorkers(now);
+    const PlanOptions options = planOptions(groups, now);
+    if (options.holdRoom) {
+        keepRoomForUrgent(now);
+    }
     std::vector<ActiveUnit *> victimUnits;
     std::vector<PlanVictim> victims;
-    const bool mayPreempt = std::ranges::any_of(groups, [](const PlanGroup &group) {
-        return group.job->terms.priority == 0;
+    const bool needsVictims = std::ranges::any_of(groups, [&](const PlanGroup &group) {
+        return group.job->terms.priority == 0 || (options.holdRoom && membersOf(group.spec()) > 1);
     });
-    if (mayPreempt) {
+    if (needsVictims) {
         victims = makeVictims(guaranteed, victimUnits, now);
     }
-    const PoolPlan plan = m_planner.plan(groups, m_planWorkers, victims);
+    const PoolPlan plan = m_planner.plan(groups, m_planWorkers, victims, options);
     for (const std::size_t victim : plan.stops) {
         ActiveUnit &unit = *victimUnits[victim];
         stop(unit, StopReason::Preempted);
+        recordPreemption(unit, now);
         sendStops(unit, now);
     }
     for (const PlannedStart &start : plan.starts) {
+        chargeAgedUnit(groups[start.group]);
         place(groups[start.group], start, now);
     }
     return plan.complete;
@@ -309,6 +363,7 @@
         active.worker = &worker;
         active.checkpoint = progress.checkpoint;
         progress.places.push_back(active.place);
+        unit.resumed = !progress.checkpoint.empty();
         workers += (workers.empty() ? "" : ",") + worker.status.worker.incarnation.worker + "@"
             + std::to_string(worker.status.worker.incarnation.startedUnixMilliseconds);
         oldestStatus = std::max(oldestStatus, now - worker.statusReceivedAt);
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -24,6 +24,13 @@
 // Delay with which rows of ended jobs and vanished agents are erased, after a retention period of minutes.
 constexpr Duration erasureInterval = fromMilliseconds(1000);
 
+RunTimePolicy runTimePolicyOf(PartMode mode)
+{
+    RunTimePolicy policy;
+    policy.use = mode == PartMode::Off ? RunTimeUse::Never : mode == PartMode::On ? RunTimeUse::Always : RunTimeUse::WhenContradicted;
+    return policy;
+}
+
 } // namespace
 
 const char *stopReasonName(StopReason reason)
@@ -38,8 +45,10 @@
     , m_rows(std::move(rows))
     , m_timing(timing)
     , m_planner(policy)
+    , m_runTimes(runTimePolicyOf(parts.learnedRunTimes))
     , m_counters(counters)
     , m_limits(limits)
+    , m_parts(parts)
     , m_records(parts.workerRecords)
 {
 }
@@ -80,6 +89,7 @@
             unit.run = progress.run;
             unit.phase = UnitPhase::Started;
             unit.startedAt = now;
+            unit.restored = true;
             for (std::uint32_t index = 0; index < progress.places.size(); ++index) {
                 ActiveMember member;
                 const std::uint32_t task = job->spec.steps[key.step].gang ? index : key.index;
@@ -119,6 +129,8 @@
     m_setAside.clear();
     m_endsInBatch.clear();
     m_waitingSince.clear();
+    m_backOff.clear();
+    m_lastAttemptsUntil.clear();
     m_endedSince.clear();
     m_erasedJobs.clear();
     m_erasedAgents.clear();
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -3,6 +3,9 @@
 #include "core/Counters.h"
 #include "core/TableTypes.h"
 #include "graph/GraphCodec.h"
+#include "headroom/PreemptionChurn.h"
+#include "headroom/RestartBackOff.h"
+#include "headroom/UrgentDemand.h"
 #include "pool/ActiveUnit.h"
 #include "pool/GraphTable.h"
 #include "pool/PoolConfiguration.h"
@@ -10,11 +13,17 @@
 #include "pool/PoolPlanner.h"
 #include "pool/PoolRows.h"
 #include "pool/PoolWorker.h"
+#include "runtimes/RunTimeModel.h"
+#include "runtimes/WorkerSpeeds.h"
+#include "shares/GroupOrder.h"
+#include "shares/ShareTable.h"
 #include "workerrecords/WorkerRecords.h"
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -58,8 +67,6 @@
         = fromMilliseconds(500); ///< Maximum interval between plans; due times and expired waits are noticed with at most this delay.
     Duration suspicionPeriod = fromMilliseconds(6000); ///< Time for which other workers are preferred after a worker failed, refused or was
                                                        ///< slow; most worker faults last no longer.
-    double slowTaskFactor
-        = 2.0; ///< Multiple of the declared run time above which a task counts as slow; declared run times are off by up to a half.
     Duration quarantinePeriod = fromMilliseconds(5000); ///< Time for which a worker with repeated failures gets no tasks.
 };
 
@@ -261,6 +268,10 @@
     void applyStatus(PoolWorker &worker, TimePoint now);
     void resolveUnconfirmed(const PoolWorker &worker);
     void updateMember(const PlacedMember &placed, const PoolWorker &worker);
+    void updateProgress(const ActiveUnit &unit, ActiveMember &member, const RunReport &report, const PoolWorker &worker);
+    static std::optional<Duration> projectRunTime(const ActiveMember &member);
+    static bool isNearData(const ActiveUnit &unit);
+    Duration remainingOf(const ActiveUnit &unit, TimePoint now) const;
     void endMember(const ActiveUnit &unit, ActiveMember &member, RunEnding ending);
     void expireSilentRuns(TimePoint now);
     void resolveBrokenGang(ActiveUnit &unit);
@@ -283,6 +294,10 @@
     void close(const ActiveUnit &unit, TimePoint now);
     bool wasSlow(const ActiveUnit &unit, const PoolWorker &worker, TimePoint now) const;
     void stopUnitsOnLeavingWorkers(TimePoint now);
+    bool usesWorkerSpeeds();
+    static RunTimeKey runTimeKeyOf(const GraphRecord &job, std::uint32_t step);
+    RunTimeForecast forecastOf(const GraphRecord &job, std::uint32_t step) const;
+    void learnRunTime(const ActiveUnit &unit, TimePoint now);
     void recordEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
     void recordSuccess(GraphRecord &job, UnitProgress &progress);
     bool hasUnits(const std::string &job) const;
@@ -308,6 +323,7 @@
     /// Waiting units of a job, kept until its progress changes.
     struct WaitingUnits {
         bool changed = true; // must be collected again
+        TimePoint collectAgainAt{}; // when the first delay or preference of a unit ends; zero if there is none
         std::vector<Duration> criticalPaths; // by step
         Duration objective{}; // latency objective of the job
         std::vector<PlanGroup> groups;
@@ -317,6 +333,7 @@
     void indexWorkers();
     void collectGroups(const GraphRecord &job, WaitingUnits &waiting, TimePoint now) const;
     PlanGroup makeGroup(const GraphRecord &job, std::uint32_t occurrence, std::uint32_t step) const;
+    void separateLastAttempts(const GraphRecord &job, PlanGroup group, WaitingUnits &waiting, TimePoint now) const;
     std::vector<PlanGroup> waitingGroups(const std::set<const GraphRecord *> &guaranteed, TimePoint now);
     std::vector<PlanVictim> makeVictims(const std::set<const GraphRecord *> &guaranteed, std::vector<ActiveUnit *> &units, TimePoint now);
     bool isDue(const GraphRecord &job, std::uint32_t occurrence, TimePoint now) const;
@@ -327,6 +344,14 @@
                      TimePoint now) const;
     std::set<const GraphRecord *> guaranteedJobs() const;
     void updatePlanWorkers(TimePoint now);
+
+    // PoolHeadroom.cpp: room that is held for urgent units
+    PlanOptions planOptions(std::span<const PlanGroup> groups, TimePoint now);
+    void chargeAgedUnit(const PlanGroup &group);
+    void accountShares(TimePoint now);
+    std::vector<std::size_t> orderByShares(std::span<const PlanGroup> groups);
+    void recordPreemption(const ActiveUnit &unit, TimePoint now);
+    void keepRoomForUrgent(TimePoint now);
     void addUpResources(PoolWorker &worker);
     bool isUsable(const PoolWorker &worker, TimePoint now) const;
     void place(const PlanGroup &group, const PlannedStart &start, TimePoint now);
@@ -340,8 +365,23 @@
     OperatorRows m_rows;
     PoolTiming m_timing;
     PoolPlanner m_planner;
+    RunTimeModel m_runTimes;
+    WorkerSpeeds m_speeds;
+    UrgentDemand m_urgentDemand;
+    PreemptionChurn m_churn;
+    RestartBackOff m_backOff;
+    bool m_holdsRoom = false; // as of the latest plan
+    ShareTable m_shares;
+    AgeingBudget m_ageing;
+    bool m_agedFirst = false; // in the order of the latest plan
+    Resources m_capacity; // of all workers, as of the latest plan
+    TimePoint m_sharesAccountedAt{};
+    bool m_usesShares = false; // as of the latest plan
+    bool m_usesSpeeds = false; // as of the latest plan
+    std::size_t m_contradictedKeys = 0; // as of the latest plan
     Counters &m_counters;
     TableLimits m_limits;
+    PoolParts m_parts;
     WorkerRecords m_records;
     std::map<std::string, PoolWorker> m_workers; // by agent
     std::map<UnitId, ActiveUnit> m_units;
@@ -361,6 +401,8 @@
     std::size_t m_batchBytes = 0; // size of the progress in the batch in flight
     std::map<std::string, std::uint64_t> m_endsInBatch; // by agent: last end that the batch in flight records
     std::map<std::pair<std::string, UnitKey>, TimePoint> m_waitingSince; // by step: the index is zero
+    std::map<UnitId, TimePoint> m_lastAttemptsUntil; // units down to their last attempt, with the time until which they wait for a
+                                                     // worker with a good record
     std::map<std::string, TimePoint> m_endedSince; // ended jobs, with the time at which this owner first noticed the end
     std::vector<std::string> m_erasedJobs; // jobs whose rows the batch in flight erases
     std::vector<std::string> m_erasedAgents; // agents whose rows the batch in flight erases
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -137,7 +137,7 @@
             // last checkpoint.
             constexpr Duration checkpointMargin = fromMilliseconds(1000);
             const StepSpec &step = unit.spec();
-            const Duration left = step.estimate - (now - unit.startedAt);
+            const Duration left = remainingOf(unit, now);
             if (step.longRunning
                 || left > worker.status.worker.minTimeUntilExit - (step.checkpoints ? checkpointMargin : Duration::zero())) {
                 stop(unit, StopReason::WorkerLeaves);
@@ -231,7 +231,67 @@
     if (unit.members.size() > 1 || farFromData || step.longRunning || step.estimate == Duration::zero()) {
         return false; // a slow member slows down its whole gang, so the gang's run time does not identify the slow worker
     }
-    return static_cast<double>((now - unit.startedAt).count()) > m_timing.slowTaskFactor * static_cast<double>(step.estimate.count());
+    return m_runTimes.isSlow(runTimeKeyOf(*unit.record, unit.key.step), {unit.job, unit.key.step}, step.estimate, now - unit.startedAt);
+}
+
+bool PoolScheduler::usesWorkerSpeeds()
+{
+    const bool uses = m_parts.workerSpeeds == PartMode::On || (m_parts.workerSpeeds == PartMode::Auto && m_speeds.areUneven());
+    if (uses != m_usesSpeeds) {
+        m_usesSpeeds = uses;
+        Log::info(uses ? "worker_speeds_active" : "worker_speeds_inactive", {{"mode", std::string(partModeName(m_parts.workerSpeeds))}});
+    }
+    if (const std::size_t keys = m_runTimes.contradictedKeys(); keys != m_contradictedKeys) {
+        m_contradictedKeys = keys;
+        Log::info("run_times_learned", {{"keys", static_cast<std::int64_t>(keys)}});
+    }
+    return uses;
+}
+
+RunTimeKey PoolScheduler::runTimeKeyOf(const GraphRecord &job, std::uint32_t step)
+{
+    const StepSpec &spec = job.spec.steps[step];
+    return {job.terms.queue, spec.demand, spec.gang};
+}
+
+RunTimeForecast PoolScheduler::forecastOf(const GraphRecord &job, std::uint32_t step) const
+{
+    return m_runTimes.forecast(runTimeKeyOf(job, step), {job.id, step}, job.spec.steps[step].estimate);
+}
+
+bool PoolScheduler::isNearData(const ActiveUnit &unit)
+{
+    const StepSpec &step = unit.spec();
+    const std::string rack = rackOf(unit.members.front().worker->status.worker);
+    return (step.homeRack.empty() || step.homeRack == rack)
+        && (!step.gang || !step.preferOneRack || std::ranges::all_of(unit.members, [&](const ActiveMember &member) {
+               return rackOf(member.worker->status.worker) == rack;
+           }));
+}
+
+Duration PoolScheduler::remainingOf(const ActiveUnit &unit, TimePoint now) const
+{
+    Duration longest{};
+    for (const ActiveMember &member : unit.members) {
+        if (const std::optional<Duration> projected = projectRunTime(member)) {
+            constexpr std::int64_t whole = 100;
+            const Duration left = *projected * (whole - static_cast<std::int64_t>(member.percent)) / whole - (now - member.percentAt);
+            constexpr Duration least = fromMilliseconds(50);
+            longest = std::max({longest, left, least});
+        }
+    }
+    return longest > Duration::zero() ? longest : RunTimeModel::remaining(forecastOf(*unit.record, unit.key.step), now - unit.startedAt, 0);
+}
+
+void PoolScheduler::learnRunTime(const ActiveUnit &unit, TimePoint now)
+{
+    const StepSpec &step = unit.spec();
+    if (!unit.restored && !unit.resumed && !step.longRunning && isNearData(unit)) {
+        if (unit.members.size() == 1) {
+            m_speeds.addTask({unit.job, unit.key.step}, unit.members.front().worker->agent, unit.key.index, now - unit.startedAt);
+        }
+        m_runTimes.addRun(runTimeKeyOf(*unit.record, unit.key.step), {unit.job, unit.key.step}, step.estimate, now - unit.startedAt);
+    }
 }
 
 void PoolScheduler::recordEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now)
@@ -272,6 +332,9 @@
         outcome = RunEnding::Failed;
     }
     recordEndings(unit, outcome, now);
+    if (outcome == RunEnding::Succeeded) {
+        learnRunTime(unit, now);
+    }
     const StepSpec &step = unit.spec();
     markDirty(*job);
     if (hasEnded(job->progress.state)) {
@@ -295,6 +358,9 @@
         recordSuccess(*job, progress);
     } else if (outcome == RunEnding::Failed && !progress.succeeded) {
         ++progress.failures;
+        if (m_parts.workerRecords != PartMode::Off && progress.failures + 1 >= job->terms.attemptLimit) {
+            m_lastAttemptsUntil[{job->id, unit.key}] = now + m_timing.suspicionPeriod;
+        }
         if (progress.failures >= job->terms.attemptLimit && !hasEnded(job->progress.state)) {
             finishJob(*job, GraphState::Failed);
         }
@@ -342,6 +408,10 @@
     } else if (state == GraphState::Failed) {
         m_counters.add(Counter::PoolJobsFailed);
     }
+    m_backOff.forgetJob(job.id);
+    std::erase_if(m_lastAttemptsUntil, [&](const auto &entry) {
+        return entry.first.first == job.id;
+    });
     std::erase_if(m_waitingSince, [&](const auto &entry) {
         return entry.first.first == job.id;
     });
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -114,8 +114,15 @@
 
     static PoolParts makeParts(const PoolEntrySettings &settings)
     {
+        const auto modeOf = [](const std::string &name) {
+            return parsePartMode(name).value_or(PartMode::Auto); // checked when the file was read
+        };
         PoolParts parts;
-        parts.workerRecords = parsePartMode(settings.workerRecords).value_or(parts.workerRecords); // checked when the file was read
+        parts.learnedRunTimes = modeOf(settings.learnedRunTimes);
+        parts.workerSpeeds = modeOf(settings.workerSpeeds);
+        parts.holdRoom = modeOf(settings.holdRoom);
+        parts.fairShares = modeOf(settings.fairShares);
+        parts.workerRecords = modeOf(settings.workerRecords);
         return parts;
     }
 
--- a/src/poolhost/PoolSettings.cpp
+++ b/src/poolhost/PoolSettings.cpp
@@ -28,8 +28,18 @@
         Key{"processor_share", Share, &S::processorShare, 1, 1000, false,
             "Share of its processors that the instance may use; the entries with most processor time own the pool."},
         Key{"processor_cores", Count, &S::processorCores, 1, 1024, false, "Number of processors of the instance."},
+        Key{"learned_run_times", Switch, &S::learnedRunTimes, 0, 0, false,
+            "Whether learned run times replace declared ones: `auto` (for queues whose declared times are contradicted), `on` or `off`."},
+        Key{"worker_speeds", Switch, &S::workerSpeeds, 0, 0, false,
+            "Whether placement considers how fast workers are: `auto` (once several are measurably slower), `on` or `off`."},
+        Key{"fair_shares", Switch, &S::fairShares, 0, 0, false,
+            "Whether workspaces get equal shares: `auto` (while several wait and one holds over half of what is in use), `on` or `off`."},
+        Key{"hold_room", Switch, &S::holdRoom, 0, 0, false,
+            "Whether room is held for urgent units and blocked gangs: `auto` (once runs are preempted soon after their start), `on` or "
+            "`off`."},
         Key{"worker_records", Switch, &S::workerRecords, 0, 0, false,
-            "Whether placement considers each worker's failures: `auto` (once a unit is down to its last attempt), `on` or `off`."},
+            "Whether placement considers each worker's failures: `auto` (once a unit is down to its last attempt), `on` or `off`. By "
+            "default off: on one day under load it cost callers more than it saved."},
     };
     return keys;
 }
--- a/src/poolhost/PoolSettings.h
+++ b/src/poolhost/PoolSettings.h
@@ -25,7 +25,11 @@
     std::int64_t processorShare = 0; ///< Share of its processors that the instance may use, in thousandths; zero if unknown.
     std::int64_t tableRowBytes = 65536; ///< Maximum size of a row in the table service, in bytes.
     std::int64_t processorCores = 1; ///< Number of processors, or speed of the only one relative to others.
-    std::string workerRecords = "auto"; ///< When placement considers the record of each worker; read by `parsePartMode`.
+    std::string learnedRunTimes = "auto"; ///< When learned run times replace declared ones; read by `parsePartMode`.
+    std::string workerSpeeds = "auto"; ///< When placement considers how fast workers are; read by `parsePartMode`.
+    std::string fairShares = "auto"; ///< When workspaces get equal shares; read by `parsePartMode`.
+    std::string holdRoom = "auto"; ///< When room is held for urgent units and blocked gangs; read by `parsePartMode`.
+    std::string workerRecords = "off"; ///< When placement considers the record of each worker; read by `parsePartMode`.
 };
 
 /// Settings of an agent, which supervises a worker of the pool.
