Limit what a process holds for its callers

Each server accepted bodies of 8 MB on 4,096 connections and nothing bounded them together. RESTinio also stops accepting for good when accept finds no free descriptor, and its limit on connections lets idle ones shut others out.

CallerBudget, a class without I/O, accounts for requests being received, requests in progress and unsent answers of all servers of a process. CallerSocket, the socket type of the RESTinio traits, reports reads and writes to it and carries out what it decides; it is the only hook that sees bytes of unfinished requests. Over the budget (a quarter of the instance's memory) the connection with the largest product of size and stalled time is closed; three quarters are open to connections of over 32 KiB, all of it to small calls. Connections are limited per server, from the descriptors, and the longest idle one is closed for a new one. A connection with a request in progress is never closed by these limits, and a request without room is answered with 503 before its handler runs.

--- a/src/entry/EntryDaemon.cpp
+++ b/src/entry/EntryDaemon.cpp
@@ -16,12 +16,14 @@
 constexpr Duration heartbeatTimeout = fromMilliseconds(1000);
 constexpr Duration expiryInterval = fromMilliseconds(250);
 constexpr Duration idleCheckInterval = fromMilliseconds(50);
+constexpr std::uint64_t headerBytes = 65536;
 
 HttpServerLimits makeServerLimits(const EntrySettings &settings)
 {
     HttpServerLimits limits;
     // A body of up to twice the limit is read, so that the caller gets an error response; above that the connection is closed.
     limits.bodyBytes = static_cast<std::uint64_t>(settings.bodyLimitBytes) * 2;
+    limits.callers.requestBytes = std::max(limits.callers.requestBytes, 2 * limits.bodyBytes + headerBytes);
     limits.requestTimeout = fromMilliseconds(settings.maxTimeoutMilliseconds + 10000);
     return limits;
 }
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "http/HttpServer.h"
 
+#include "http/CallerSocket.h"
 #include "http/ConnectionErrorCounter.h"
 #include "http/ConnectionEvents.h"
 
@@ -18,7 +19,9 @@
 
 struct ServerTraits : restinio::single_thread_traits_t<restinio::asio_timer_manager_t, ConnectionErrorCounter> {
     using connection_state_listener_t = ConnectionEvents; // NOLINT(readability-identifier-naming): required by RESTinio
-    static constexpr bool use_connection_count_limiter = true; // NOLINT(readability-identifier-naming): required by RESTinio
+    using stream_socket_t = CallerSocket; // NOLINT(readability-identifier-naming): required by RESTinio
+    // RESTinio's own limit on connections isn't used: it stops accepting, so that idle connections shut others out, and it loses one place
+    // for each connection that is reset before it is accepted.
 };
 
 ServerRequest readRequest(const restinio::request_handle_t &handle)
@@ -36,7 +39,30 @@
     return request;
 }
 
-void writeResponse(const restinio::request_handle_t &handle, const ServerResponse &response, bool close)
+/// Charge of a request in progress, released with the last reference to the request.
+class RequestCharge
+{
+public:
+    RequestCharge(CallerConnections &connections, std::uint64_t bytes)
+        : m_connections(connections)
+        , m_bytes(bytes)
+    {
+    }
+
+    ~RequestCharge()
+    {
+        m_connections.budget().endRequest(m_bytes);
+    }
+
+    RequestCharge(const RequestCharge &) = delete;
+    RequestCharge &operator=(const RequestCharge &) = delete;
+
+private:
+    CallerConnections &m_connections;
+    std::uint64_t m_bytes;
+};
+
+void writeResponse(const restinio::request_handle_t &handle, const ServerResponse &response, bool close, restinio::write_status_cb_t onEnd)
 {
     const auto code = static_cast<std::uint16_t>(response.status);
     auto builder = handle->create_response(restinio::http_status_line_t{restinio::http_status_code_t{code}, "-"});
@@ -52,10 +78,10 @@
     if (response.body) {
         builder.set_body(*response.body);
     }
-    builder.done();
+    builder.done(std::move(onEnd));
 }
 
-void writeTruncated(const restinio::request_handle_t &handle, const ServerResponse &response)
+void writeTruncated(const restinio::request_handle_t &handle, const ServerResponse &response, restinio::write_status_cb_t onEnd)
 {
     const std::string body = response.body ? *response.body : "";
     auto builder = handle->create_response<restinio::user_controlled_output_t>(restinio::status_ok());
@@ -63,7 +89,7 @@
     builder.connection_close();
     builder.append_header(restinio::http_field::content_type, response.contentType);
     builder.append_body(body);
-    builder.done();
+    builder.done(std::move(onEnd));
 }
 
 } // namespace
@@ -95,6 +121,7 @@
         , m_limits(limits)
         , m_counters(counters)
         , m_connections(std::make_shared<ConnectionEvents>(counters))
+        , m_callers(CallerConnections::of(loop.context()))
         , m_handler(std::move(handler))
     {
     }
@@ -108,11 +135,11 @@
                 .read_next_http_message_timelimit(m_limits.headerTimeout)
                 .handle_request_timeout(m_limits.requestTimeout)
                 .write_http_response_timelimit(std::chrono::seconds(30))
-                .max_parallel_connections(m_limits.connections)
                 .logger(m_counters)
                 .connection_state_listener(m_connections)
                 .acceptor_post_bind_hook([this](asio::ip::tcp::acceptor &acceptor) {
                     m_listeningSocket = acceptor.native_handle();
+                    m_callers.addServer(acceptor.local_endpoint().port(), m_limits.connections, m_limits.callers, m_counters);
                 })
                 .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t{}
                                               .max_url_size(8192)
@@ -155,7 +182,8 @@
     }
 
 private:
-    static constexpr Duration maxAcceptDelay = fromMilliseconds(200); // bounds the wait, since none is accepted at the connection limit
+    static constexpr std::uint64_t requestOverhead = 1024; // of headers, in bytes
+    static constexpr Duration maxAcceptDelay = fromMilliseconds(200); // bounds the wait while connections keep arriving
 
     bool hasPendingConnection() const
     {
@@ -166,22 +194,45 @@
     restinio::request_handling_status_t handleRequest(const restinio::request_handle_t &handle)
     {
         m_connections->onRequest(handle->connection_id());
+        const CallerBudget::Connection connection = m_callers.current();
+        const std::uint64_t bytes = requestOverhead + 2 * handle->body().size(); // RESTinio's copy and that of the handler
+        if (!m_callers.budget().beginRequest(connection, bytes)) {
+            m_callers.record(CallerLimit::HeldBytes, bytes);
+            constexpr int unavailable = 503;
+            ServerResponse refusal;
+            refusal.status = unavailable;
+            answer(handle, connection, refusal, true);
+            return restinio::request_accepted();
+        }
         m_loop.runEvent([&] {
-            m_handler(readRequest(handle), [this, handle](const ServerResponse &response) {
-                if (response.truncateBody) {
-                    writeTruncated(handle, response);
-                } else {
-                    writeResponse(handle, response, m_closeAfterResponse);
-                }
-            });
+            m_handler(
+                readRequest(handle),
+                [this, handle, connection, charge = std::make_shared<RequestCharge>(m_callers, bytes)](const ServerResponse &response) {
+                    answer(handle, connection, response, m_closeAfterResponse);
+                });
         });
         return restinio::request_accepted();
     }
 
+    void answer(const restinio::request_handle_t &handle, CallerBudget::Connection connection, const ServerResponse &response, bool close)
+    {
+        m_callers.budget().beginAnswer(connection, requestOverhead + (response.body ? response.body->size() : 0), EventLoop::now());
+        const auto onEnd = [&callers = m_callers, connection](const std::error_code &) {
+            callers.budget().endAnswer(connection);
+        };
+        if (response.truncateBody) {
+            writeTruncated(handle, response, onEnd);
+        } else {
+            writeResponse(handle, response, close, onEnd);
+        }
+        m_callers.closeExcess();
+    }
+
     EventLoop &m_loop;
     HttpServerLimits m_limits;
     Counters &m_counters;
     std::shared_ptr<ConnectionEvents> m_connections;
+    CallerConnections &m_callers;
     Handler m_handler;
     bool m_closeAfterResponse = false;
     bool m_stopped = false;
--- a/src/http/HttpServer.h
+++ b/src/http/HttpServer.h
@@ -4,6 +4,7 @@
 #include "core/Endpoint.h"
 #include "core/Result.h"
 #include "dispatch/AttemptMessage.h"
+#include "http/CallerBudget.h"
 #include "runtime/EventLoop.h"
 #include "runtime/HttpMessage.h"
 
@@ -50,7 +51,8 @@
 /// Limits of an HTTP server.
 struct HttpServerLimits {
     std::uint64_t bodyBytes = 8ULL * 1024 * 1024; ///< Maximum size of a request body; a larger one closes the connection.
-    std::size_t connections = 4096; ///< Maximum number of simultaneous connections.
+    std::size_t connections = 4096; ///< Maximum number of simultaneous connections; above it, the longest idle one is closed.
+    CallerLimits callers; ///< Limits of all servers on the event loop together; those of the last server apply.
     Duration headerTimeout = fromMilliseconds(10000); ///< Timeout for receiving a request.
     Duration requestTimeout = fromMilliseconds(120000); ///< Timeout for handling a request.
 };
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -28,13 +28,14 @@
         , m_store(m_settings.tableUrl, m_loop, m_http, m_counters)
         , m_worker(m_settings.workerUrl, m_loop, m_http)
         , m_supervisor(makeIncarnation(), makeTimes(m_settings), m_counters)
-        , m_announcementServer(m_loop, HttpServerLimits(), m_counters,
+        , m_announcementServer(m_loop, serverLimitsOf(m_settings, ServerUse::Callers), m_counters,
                                [this](const ServerRequest &request, const HttpServer::Responder &respond) {
                                    serveWorker(request, respond);
                                })
-        , m_metricsServer(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
-            respond(metricsResponse(m_counters.toPrometheus()));
-        })
+        , m_metricsServer(m_loop, serverLimitsOf(m_settings, ServerUse::Operation), m_counters,
+                          [this](const ServerRequest &, const HttpServer::Responder &respond) {
+                              respond(metricsResponse(m_counters.toPrometheus()));
+                          })
     {
     }
 
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -34,17 +34,18 @@
                   m_latencies)
         , m_api(m_loop, m_store, m_mirror, fromMilliseconds(m_settings.staleLimitMilliseconds), m_counters, m_latencies,
                 makeLimits(m_settings))
-        , m_callerServer(m_loop, HttpServerLimits(), m_counters,
+        , m_callerServer(m_loop, serverLimitsOf(m_settings, ServerUse::Callers), m_counters,
                          [this](const ServerRequest &request, const HttpServer::Responder &respond) {
                              serveCaller(request, respond);
                          })
-        , m_balancerServer(m_loop, HttpServerLimits(), m_counters,
+        , m_balancerServer(m_loop, serverLimitsOf(m_settings, ServerUse::Operation), m_counters,
                            [this](const ServerRequest &request, const HttpServer::Responder &respond) {
                                serveBalancer(request, respond);
                            })
-        , m_metricsServer(m_loop, HttpServerLimits(), m_counters, [this](const ServerRequest &, const HttpServer::Responder &respond) {
-            respond(metricsResponse(m_counters.toPrometheus() + m_latencies.toPrometheus()));
-        })
+        , m_metricsServer(m_loop, serverLimitsOf(m_settings, ServerUse::Operation), m_counters,
+                          [this](const ServerRequest &, const HttpServer::Responder &respond) {
+                              respond(metricsResponse(m_counters.toPrometheus() + m_latencies.toPrometheus()));
+                          })
     {
     }
 
--- a/src/poolhost/PoolSettings.cpp
+++ b/src/poolhost/PoolSettings.cpp
@@ -28,6 +28,16 @@
         Key{"processor_share", Share, &S::processorShare, 1, 1000, false,
             "Share of its processors that the instance may use; the entries with most processor time own the pool."},
         Key{"processor_cores", Count, &S::processorCores, 1, 1024, false, "Number of processors of the instance."},
+        Key{"memory_mb", Count, &S::memoryMegabytes, 32, 1048576, false, "Memory of the instance, in MiB."},
+        Key{"max_body_bytes", Bytes, &S::maxBodyBytes, 262144, 16777216, false,
+            "Maximum size of a request's body; a larger one closes the connection."},
+        Key{"max_descriptors", Count, &S::maxDescriptors, 64, 1048576, false,
+            "File descriptors that the process may open; a lower limit of the operating system applies instead."},
+        Key{"max_connections", Count, &S::maxConnections, 0, 1048576, false,
+            "Maximum number of connections from outside; above it the longest idle one is closed. 0: three quarters of the descriptors."},
+        Key{"caller_memory_mb", Count, &S::callerMemoryMegabytes, 0, 1048576, false,
+            "Memory for requests and unsent answers, in MiB; above it the largest and longest stalled are closed. 0: a quarter of the "
+            "memory."},
     };
     return keys;
 }
@@ -47,6 +57,16 @@
         Key{"table_url", Url, &S::tableUrl, 0, 0, true, "URL of the platform's table service."},
         Key{"log_level", Text, &S::logLevel, 0, 0, false, "`debug`, `info`, `warning` or `error`."},
         Key{"lease_ms", Milliseconds, &S::leaseMilliseconds, 1000, 60000, false, "Lease duration of the worker's tasks."},
+        Key{"memory_mb", Count, &S::memoryMegabytes, 32, 1048576, false, "Memory of the instance, in MiB."},
+        Key{"max_body_bytes", Bytes, &S::maxBodyBytes, 262144, 16777216, false,
+            "Maximum size of a request's body; a larger one closes the connection."},
+        Key{"max_descriptors", Count, &S::maxDescriptors, 64, 1048576, false,
+            "File descriptors that the process may open; a lower limit of the operating system applies instead."},
+        Key{"max_connections", Count, &S::maxConnections, 0, 1048576, false,
+            "Maximum number of connections from outside; above it the longest idle one is closed. 0: three quarters of the descriptors."},
+        Key{"caller_memory_mb", Count, &S::callerMemoryMegabytes, 0, 1048576, false,
+            "Memory for requests and unsent answers, in MiB; above it the largest and longest stalled are closed. 0: a quarter of the "
+            "memory."},
     };
     return keys;
 }
--- a/src/poolhost/PoolSettings.h
+++ b/src/poolhost/PoolSettings.h
@@ -25,6 +25,11 @@
     std::int64_t processorShare = 0; ///< Share of its processors that the instance may use, in thousandths; zero if unknown.
     std::int64_t tableRowBytes = 65536; ///< Maximum size of a row in the table service, in bytes.
     std::int64_t processorCores = 1; ///< Number of processors, or speed of the only one relative to others.
+    std::int64_t memoryMegabytes = 128; ///< Memory of the instance.
+    std::int64_t maxBodyBytes = 1048576; ///< Maximum size of a request's body.
+    std::int64_t maxDescriptors = 4096; ///< File descriptors that the process may open.
+    std::int64_t maxConnections = 0; ///< Maximum number of callers' connections; zero to derive it from the descriptors.
+    std::int64_t callerMemoryMegabytes = 0; ///< Memory for what is held on behalf of callers; zero to derive it from the memory.
 };
 
 /// Settings of an agent, which supervises a worker of the pool.
@@ -38,6 +43,11 @@
     std::string tableUrl; ///< URL of the table service.
     std::string logLevel = "info"; ///< Minimum level of log lines.
     std::int64_t leaseMilliseconds = 6000; ///< Lease duration of the worker's tasks.
+    std::int64_t memoryMegabytes = 128; ///< Memory of the instance.
+    std::int64_t maxBodyBytes = 1048576; ///< Maximum size of a request's body.
+    std::int64_t maxDescriptors = 4096; ///< File descriptors that the process may open.
+    std::int64_t maxConnections = 0; ///< Maximum number of callers' connections; zero to derive it from the descriptors.
+    std::int64_t callerMemoryMegabytes = 0; ///< Memory for what is held on behalf of callers; zero to derive it from the memory.
 };
 
 /// @return All keys of a pool entry's settings.
--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -51,6 +51,7 @@
         HttpServerLimits limits;
         limits.bodyBytes = 1000;
         limits.headerTimeout = fromMilliseconds(200);
+        limits.connections = 30;
         return limits;
     }
 
@@ -191,6 +192,65 @@
     BOOST_TEST((post("/", "late").delivery == HttpDelivery::NotSent));
 }
 
+BOOST_AUTO_TEST_CASE(upgradeRequestIsAnsweredOnceAndItsConnectionCloses)
+{
+    // RESTinio handles such a request again if its connection stays open. Some clients ask for HTTP/2 in this way and expect an ordinary
+    // answer.
+    const std::string received = sendRaw("GET / HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n\r\n");
+    BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(received.find("HTTP/1.1", 1) == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(idleConnectionsOverTheLimitAreClosedForNewOnes)
+{
+    // Guards against idle connections that shut others out until they time out.
+    std::vector<int> idle;
+    for (int index = 0; index < 60; ++index) {
+        idle.push_back(connectToServer());
+    }
+    BOOST_TEST(post("/", "fine").body == "fine");
+    BOOST_TEST(waitForValue(Counter::CallersOverConnections, 31) == 31U);
+    for (const int connection : idle) {
+        close(connection);
+    }
+}
+
+BOOST_AUTO_TEST_CASE(requestOverTheMemoryForCallersIsRefusedAndNotHandled)
+{
+    // Guards against an untrue refusal.
+    EventLoop loop;
+    Counters counters;
+    HttpServerLimits limits;
+    limits.callers.heldBytes = 100000;
+    int handled = 0;
+    HttpServer server(loop, limits, counters, [&](const ServerRequest &, const HttpServer::Responder &respond) {
+        ++handled;
+        respond(ServerResponse());
+    });
+    BOOST_REQUIRE(isOk(server.listen({"127.0.0.1", 23852})));
+    std::thread thread([&] {
+        loop.run();
+    });
+    const auto send = [](std::size_t bytes) {
+        HttpRequest request;
+        request.method = "POST";
+        request.url = "http://127.0.0.1:23852/";
+        request.body = std::string(bytes, 'x');
+        return HttpClient::exchange(request).status;
+    };
+    const int refused = send(60000);
+    const int accepted = send(1000);
+    loop.post([&] {
+        server.stopListening();
+        loop.stop();
+    });
+    thread.join();
+    BOOST_TEST(refused == 503);
+    BOOST_TEST(accepted == 200);
+    BOOST_TEST(handled == 1);
+    BOOST_TEST(counters.value(Counter::CallersOverHeldBytes) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(problemContainsCodeNameAndOutcome)
 {
     const ServerResponse response = problemResponse({ResultCode::RateLimited, "too \xFF many"});
