Test resets before accept and chunked bodies that stop short in the limits

RESTinio's limit on connections lost one place for each connection that was reset before it was accepted, so that 6,000 of them ended accepting for good. Chunked bodies below the body limit had no case either.

--- a/tests/outside/outside_limits.py
+++ b/tests/outside/outside_limits.py
@@ -11,6 +11,7 @@
 import select
 import signal
 import socket
+import struct
 import subprocess
 import sys
 import tempfile
@@ -75,6 +76,19 @@
     yield b"x" * 65535
 
 
+def chunks_in_limits():
+    yield CHUNKED
+    for _ in range(15):
+        yield b"10000\r\n" + BLOCK + b"\r\n"
+    yield b"10000\r\n" + BLOCK
+
+
+def one_byte_chunks_in_limits():
+    yield CHUNKED
+    for _ in range(16):
+        yield b"1\r\nx\r\n" * 16384
+
+
 def headers_byte_by_byte():
     yield HEAD
     for _ in range(20000):
@@ -124,6 +138,8 @@
     "trailers": (trailers, 60),
     "almost-complete": (almost_complete, 100),
     "almost-complete-in-limits": (almost_complete_in_limits, 300),
+    "chunks-in-limits": (chunks_in_limits, 300),
+    "one-byte-chunks-in-limits": (one_byte_chunks_in_limits, 300),
     "headers-byte-by-byte": (headers_byte_by_byte, 200),
     "endless-headers": (endless_headers, 100),
     "requests-ahead": (requests_ahead, 60),
@@ -132,6 +148,7 @@
     "deep-json": (deep_json, 60),
     "huge-json": (huge_json, 60),
     "upgrade": (upgrade, 20),
+    "resets": (None, 6000),
 }
 
 
@@ -144,6 +161,15 @@
 }
 
 
+def reset_connections(port, count):
+    """Opens connections one after another and resets each at once, mostly before the program has accepted it."""
+    for _ in range(count):
+        connection = socket.socket()
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        connection.connect(("127.0.0.1", port))
+        connection.close()
+
+
 class Caller:
     """A connection that sends a payload and reads no answer."""
 
@@ -250,7 +276,10 @@
     callers = []
     try:
         payload, count = KINDS[kind]
-        callers = [Caller(program.ports[target], payload()) for _ in range(count)]
+        if payload is None:
+            reset_connections(program.ports[target], count)
+        else:
+            callers = [Caller(program.ports[target], payload()) for _ in range(count)]
         send_all(callers)
         if program.process.poll() is not None:
             return ["ended with %d" % program.process.returncode], ""
