--- a/src/http/CallerSocket.h
+++ b/src/http/CallerSocket.h
@@ -24,6 +24,7 @@
 class CallerConnections : public asio::execution_context::service
 {
 public:
+    /// Type under which Asio finds the service; required by Asio.
     using key_type = CallerConnections; // NOLINT(readability-identifier-naming): required by Asio
 
     static asio::execution_context::id id; ///< Required by Asio.
@@ -99,6 +100,9 @@
     /// @param other Socket to move.
     CallerSocket(CallerSocket &&other) = default;
 
+    /// Takes over a socket before its first read, like the constructor.
+    /// @param other Socket to move.
+    /// @return This socket.
     CallerSocket &operator=(CallerSocket &&other) = default;
 
     ~CallerSocket()
