--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -511,7 +511,9 @@
         constexpr double microsecondsPerSecond = 1e6;
         for (const Release &release : releases) {
             placement.workers.push_back(release.worker);
-            placement.cost += m_group.group.spec().demand.coreEquivalents() * static_cast<double>((start - release.after).count())
+            const double whole = m_group.group.spec().demand.coreEquivalents();
+            placement.cost += (whole * static_cast<double>((start - release.after).count())
+                               + release.idleBefore * static_cast<double>(release.after.count()))
                 / microsecondsPerSecond;
         }
         return start;
@@ -522,6 +524,7 @@
     struct Release {
         Duration after{};
         std::uint32_t worker = 0;
+        double idleBefore = 0.0; // core-equivalents of it that are free already
     };
 
     void addReleases(std::uint32_t worker, std::vector<Release> &releases) const
@@ -542,6 +545,12 @@
         });
         Resources left = m_state.capacity.free(worker) + m_state.capacity.stopping(worker);
         std::int64_t members = addMembers(worker, Duration::zero(), left.countOf(demand), 0, releases);
+        const std::size_t waiting = releases.size(); // the next member waits beside what is free already
+        Resources unused = left;
+        for (std::int64_t member = 0; member < members; ++member) {
+            unused -= demand;
+        }
+        const double idle = smallerOf(unused, demand).coreEquivalents();
         for (const std::size_t victim : running) {
             for (const std::uint32_t place : m_state.victims[victim].workers) {
                 if (place == worker) {
@@ -550,6 +559,18 @@
             }
             members = addMembers(worker, m_state.victims[victim].remaining, left.countOf(demand), members, releases);
         }
+        if (waiting < releases.size()) {
+            releases[waiting].idleBefore = idle;
+        }
+    }
+
+    static Resources smallerOf(const Resources &free, const Resources &demand)
+    {
+        const auto bounded = [](std::int64_t amount, std::int64_t limit) {
+            return std::clamp<std::int64_t>(amount, 0, std::max<std::int64_t>(limit, 0));
+        };
+        return {bounded(free.processors, demand.processors), bounded(free.memory, demand.memory),
+                bounded(free.accelerators, demand.accelerators)};
     }
 
     std::int64_t addMembers(std::uint32_t worker, Duration after, std::int64_t fitting, std::int64_t members,
@@ -558,7 +579,7 @@
         const std::uint32_t limit = m_group.group.spec().spreadLimit;
         const std::uint32_t before = limit != 0 && worker < m_group.onWorker.size() ? m_group.onWorker[worker] : 0;
         while (members < fitting && members < membersOf(m_group.group.spec()) && (limit == 0 || before + members < limit)) {
-            releases.push_back({after, worker});
+            releases.push_back({after, worker, 0.0});
             ++members;
         }
         return members;
