--- a/src/pool/PoolHeadroom.cpp
+++ b/src/pool/PoolHeadroom.cpp
@@ -120,6 +120,7 @@
         return;
     }
     std::vector<std::vector<PlanWorker *>> ranked;
+    ranked.reserve(racks.size());
     for (auto &[rack, workers] : racks) {
         ranked.push_back(std::move(workers));
     }
--- a/src/poolhost/DaemonParts.h
+++ b/src/poolhost/DaemonParts.h
@@ -50,7 +50,7 @@
 /// @return Limits of the server.
 template <typename Settings> HttpServerLimits serverLimitsOf(const Settings &settings, ServerUse use)
 {
-    constexpr std::int64_t mebibyte = 1024 * 1024;
+    constexpr std::int64_t mebibyte = std::int64_t{1024} * 1024;
     constexpr std::int64_t headerBytes = 65536;
     constexpr std::int64_t operationDivisor = 16; // a sixteenth of the connections for each of the readiness and metrics servers
     rlimit system{};
