--- a/src/pool/PoolHeadroom.cpp
+++ b/src/pool/PoolHeadroom.cpp
@@ -29,9 +29,16 @@
 
 } // namespace
 
+bool PoolScheduler::isIrregular() const
+{
+    // Where declared times hold and workers are alike, the earlier planner serves callers better: with room held and shares on
+    // ghlc-sched-grown, the score fell from 0.728 to 0.658 in one round each.
+    return m_contradictedKeys > 0 || m_usesSpeeds;
+}
+
 PlanOptions PoolScheduler::planOptions(std::span<const PlanGroup> groups, TimePoint now)
 {
-    const bool holds = m_parts.holdRoom == PartMode::On || (m_parts.holdRoom == PartMode::Auto && m_churn.isActive(now));
+    const bool holds = m_parts.holdRoom == PartMode::On || (m_parts.holdRoom == PartMode::Auto && isIrregular() && m_churn.isActive(now));
     if (holds != m_holdsRoom) {
         m_holdsRoom = holds;
         Log::info(holds ? "room_holding_active" : "room_holding_inactive", {{"mode", std::string(partModeName(m_parts.holdRoom))}});
@@ -74,7 +81,8 @@
         ranks.push_back({group.guaranteed, group.job->terms.priority, group.reach, group.slack, group.needed, group.waited,
                          workOfUnit(group) * static_cast<double>(group.indexes.size()), group.job->terms.workspace});
     }
-    const bool uses = m_parts.fairShares == PartMode::On || (m_parts.fairShares == PartMode::Auto && isContended(ranks, m_shares));
+    const bool uses
+        = m_parts.fairShares == PartMode::On || (m_parts.fairShares == PartMode::Auto && isIrregular() && isContended(ranks, m_shares));
     if (uses != m_usesShares) {
         m_usesShares = uses;
         m_counters.add(Counter::PoolShareChanges);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -346,6 +346,7 @@
     void updatePlanWorkers(TimePoint now);
 
     // PoolHeadroom.cpp: room that is held for urgent units
+    bool isIrregular() const;
     PlanOptions planOptions(std::span<const PlanGroup> groups, TimePoint now);
     void chargeAgedUnit(const PlanGroup &group);
     void accountShares(TimePoint now);
--- a/tests/pool/WorkerRecordsTest.cpp
+++ b/tests/pool/WorkerRecordsTest.cpp
@@ -55,7 +55,7 @@
     }
 
     /// Adds a job of single tasks.
-    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t attempts)
+    void addJob(const std::string &id, std::uint32_t tasks, std::uint32_t attempts, std::uint32_t spreadLimit = 0)
     {
         GraphRecord record;
         record.spec.payload = "work";
@@ -63,6 +63,7 @@
         task.tasks = tasks;
         task.demand = {1000, 1000, 1};
         task.estimate = fromMilliseconds(5000);
+        task.spreadLimit = spreadLimit;
         record.spec.steps = {task};
         record.terms = {"queue", "workspace", "service", 1, attempts, 2.0, fromMilliseconds(500)};
         record.acceptedUnixMilliseconds = unixOrigin;
@@ -169,6 +170,24 @@
     BOOST_TEST(pool.counters.value(Counter::PoolWorkersBarred) == 0U);
 }
 
+// Guards against two tasks on one worker of a step that allows one: a last attempt and another task of the step were planned apart (a
+// played day on borgerforslag-sched-grown, rule ROUTE).
+BOOST_AUTO_TEST_CASE(lastAttemptRespectsTheSpreadLimitOfItsStep)
+{
+    RecordsFixture pool(PartMode::On, 3);
+    pool.addJob("job", 3, 2, 1);
+    pool.pass(fromMilliseconds(500));
+    pool.end("agent-0", RunEnding::Failed, 1);
+    pool.end("agent-1", RunEnding::LeaseExpired, 1);
+    for (int round = 0; round < 80; ++round) {
+        pool.pass(fromMilliseconds(100));
+        for (const char *agent : {"agent-0", "agent-1", "agent-2"}) {
+            BOOST_TEST(pool.placedOn(agent) <= 1U);
+        }
+    }
+    BOOST_TEST(pool.placedOn("agent-0") + pool.placedOn("agent-1") + pool.placedOn("agent-2") == 3U);
+}
+
 // Guards against records that act without evidence, or not once a unit is down to its last attempt, also under a new owner.
 BOOST_AUTO_TEST_CASE(recordsActFromTheFirstUnitThatIsDownToItsLastAttempt)
 {
