Forget the tasks of ended jobs in the speeds of workers

Cause: WorkerSpeeds kept the tasks of each step for ever, so an owner grew with each job. Found in the read-through. Change: forgetJob and forgetJobs, called at the end of a job and of an ownership; reports after the end of a job add nothing. One constant for early preemptions instead of two. Result: runtimes_test with the new case evidenceOutlastsItsJobs holds.

--- a/src/headroom/PreemptionChurn.h
+++ b/src/headroom/PreemptionChurn.h
@@ -14,6 +14,8 @@
 class PreemptionChurn
 {
 public:
+    static constexpr Duration earlyLimit = fromMilliseconds(1000); ///< Starting and stopping a run takes up to half of it.
+
     /// Adds a preemption.
     /// @param ranFor Time for which the run had been started.
     /// @param now Current time.
@@ -24,7 +26,6 @@
     bool isActive(TimePoint now) const;
 
 private:
-    static constexpr Duration earlyLimit = fromMilliseconds(1000); ///< Starting and stopping a run takes up to half of it.
     static constexpr std::size_t minEarly = 3; ///< A single early preemption may be due to a burst.
     static constexpr Duration window = fromMilliseconds(30000); ///< Span in which that many early preemptions count as recurrent.
     static constexpr Duration holdTime = fromMilliseconds(60000); ///< Held room prevents the evidence, so the verdict outlasts it.
--- a/src/pool/PoolHeadroom.cpp
+++ b/src/pool/PoolHeadroom.cpp
@@ -16,8 +16,6 @@
 namespace
 {
 
-constexpr Duration earlyPreemption = fromMilliseconds(1000); // starting and stopping a run takes up to half of it
-
 /// @return Forecast work of a unit of the group, in core-equivalent seconds.
 double workOfUnit(const PlanGroup &group)
 {
@@ -31,8 +29,7 @@
 
 bool PoolScheduler::isIrregular() const
 {
-    // Where declared times hold and workers are alike, the earlier planner serves callers better: with room held and shares on
-    // ghlc-sched-grown, the score fell from 0.728 to 0.658 in one round each.
+    // Where declared times hold and workers are alike, callers were served worse with room held; docs/design/held-room.md has the figures.
     return m_contradictedKeys > 0 || m_usesSpeeds;
 }
 
@@ -106,7 +103,7 @@
 {
     const Duration ranFor = now - unit.startedAt;
     m_churn.add(ranFor, now);
-    if (ranFor <= earlyPreemption) {
+    if (ranFor <= PreemptionChurn::earlyLimit) {
         m_counters.add(Counter::PoolEarlyPreemptions);
     }
     if (m_holdsRoom) {
@@ -118,7 +115,6 @@
 {
     std::map<std::string_view, std::vector<PlanWorker *>> racks;
     for (PlanWorker &worker : m_planWorkers) {
-        worker.kept = false;
         if (worker.usable && !worker.suspect) {
             racks[worker.rack].push_back(&worker);
         }
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -245,7 +245,8 @@
     // Rounding and the delay of the start make earlier projections inaccurate.
     constexpr std::uint32_t minPercent = 25;
     const std::optional<Duration> projected = projectRunTime(member);
-    if (projected && member.percent >= minPercent && unit.members.size() == 1 && !unit.spec().longRunning && isNearData(unit)) {
+    const bool isComparable = unit.members.size() == 1 && !unit.spec().longRunning && !hasEnded(unit.record->progress.state);
+    if (projected && member.percent >= minPercent && isComparable && isNearData(unit)) {
         m_speeds.addTask({unit.job, unit.key.step}, worker.agent, unit.key.index, *projected);
     }
 }
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -130,6 +130,7 @@
     m_endsInBatch.clear();
     m_waitingSince.clear();
     m_backOff.clear();
+    m_speeds.forgetJobs();
     m_lastAttemptsUntil.clear();
     m_endedSince.clear();
     m_erasedJobs.clear();
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -287,7 +287,7 @@
 {
     const StepSpec &step = unit.spec();
     if (!unit.restored && !unit.resumed && !step.longRunning && isNearData(unit)) {
-        if (unit.members.size() == 1) {
+        if (unit.members.size() == 1 && !hasEnded(unit.record->progress.state)) {
             m_speeds.addTask({unit.job, unit.key.step}, unit.members.front().worker->agent, unit.key.index, now - unit.startedAt);
         }
         m_runTimes.addRun(runTimeKeyOf(*unit.record, unit.key.step), {unit.job, unit.key.step}, step.estimate, now - unit.startedAt);
@@ -409,6 +409,7 @@
         m_counters.add(Counter::PoolJobsFailed);
     }
     m_backOff.forgetJob(job.id);
+    m_speeds.forgetJob(job.id);
     std::erase_if(m_lastAttemptsUntil, [&](const auto &entry) {
         return entry.first.first == job.id;
     });
--- a/src/runtimes/WorkerSpeeds.cpp
+++ b/src/runtimes/WorkerSpeeds.cpp
@@ -108,15 +108,17 @@
     return slow >= minSlowWorkers && static_cast<double>(slow) >= minSlowShare * static_cast<double>(known);
 }
 
-void WorkerSpeeds::forgetStep(const StepId &step)
+void WorkerSpeeds::forgetJob(const std::string &job)
 {
-    m_steps.erase(step);
+    auto step = m_steps.lower_bound({job, 0});
+    while (step != m_steps.end() && step->first.job == job) {
+        step = m_steps.erase(step);
+    }
 }
 
-void WorkerSpeeds::clear()
+void WorkerSpeeds::forgetJobs()
 {
     m_steps.clear();
-    m_workers.clear();
 }
 
 } // namespace banyanlock
--- a/src/runtimes/WorkerSpeeds.h
+++ b/src/runtimes/WorkerSpeeds.h
@@ -42,12 +42,12 @@
     /// @return Whether the speeds of the workers differ: several workers, and a fair part of the known ones, are slow.
     bool areUneven() const;
 
-    /// Forgets a step that has ended.
-    /// @param step The step.
-    void forgetStep(const StepId &step);
+    /// Forgets the tasks of a job that has ended; what they showed of the workers is kept.
+    /// @param job Id of the job.
+    void forgetJob(const std::string &job);
 
-    /// Forgets everything.
-    void clear();
+    /// Forgets the tasks of all jobs; what they showed of the workers is kept.
+    void forgetJobs();
 
 private:
     static constexpr double slowThreshold = 1.11; ///< Twice the usual deviation of the mean of five tasks of a step, shrunk.
--- a/tests/runtimes/WorkerSpeedsTest.cpp
+++ b/tests/runtimes/WorkerSpeedsTest.cpp
@@ -105,6 +105,20 @@
     BOOST_TEST(speeds.slowdownOf("agent") == 1.0);
 }
 
+BOOST_AUTO_TEST_CASE(evidenceOutlastsItsJobs)
+{
+    // Guards against an owner that grows with each job, and against one that forgets its slow workers when a job ends.
+    Pool pool(5, 1.3);
+    pool.runSteps(15);
+    for (int step = 0; step < 15; ++step) {
+        pool.speeds.forgetJob("job" + std::to_string(step));
+    }
+    BOOST_TEST(pool.speeds.areUneven());
+    pool.speeds.addTask({"job0", 0}, "agent0", 0, fromMilliseconds(1000)); // counts again, since the step is forgotten
+    pool.speeds.forgetJobs();
+    BOOST_TEST(pool.speeds.areUneven());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 } // namespace banyanlock
