--- a/tests/http/HttpServerTest.cpp
+++ b/tests/http/HttpServerTest.cpp
@@ -204,8 +204,10 @@
 BOOST_AUTO_TEST_CASE(idleConnectionsOverTheLimitAreClosedForNewOnes)
 {
     // Guards against idle connections that shut others out until they time out.
+    constexpr int connections = 60;
     std::vector<int> idle;
-    for (int index = 0; index < 60; ++index) {
+    idle.reserve(connections);
+    for (int index = 0; index < connections; ++index) {
         idle.push_back(connectToServer());
     }
     BOOST_TEST(post("/", "fine").body == "fine");
