--- a/tests/core/SettingsTest.cpp
+++ b/tests/core/SettingsTest.cpp
@@ -115,8 +115,11 @@
         BOOST_TEST((parsePartMode(valueOf(result).part) == mode));
     }
     for (const char *text : {"yes", "true", "On", "aut", "auto "}) {
-        const std::string quoted = "'" + std::string(text) + "'";
-        checkReportedFault(good + "part: " + quoted + "\n", ":3: part: " + quoted + " is not one of auto, on, off");
+        std::string document(good);
+        document.append("part: '").append(text).append("'\n");
+        std::string fault(":3: part: '");
+        fault.append(text).append("' is not one of auto, on, off");
+        checkReportedFault(document, fault);
     }
     checkReportedFault(good + "part: ''\n", ":3: part: must not be empty");
     checkReportedFault(good + "part: [on]\n", ":3: part: must be a single value");
