Write the work of tasks, held room and the callers' limits once

Cause: the read-through found the core-equivalent seconds of tasks computed in four places, hold() repeating the end of reserve(), the five settings of the callers' limits listed for both roles, contradicted keys counted once for each open job and a forecast made twice in a plan, shares accounted while fair_shares is off, and members that nothing read. Change: workOf, hold, withCallerLimits; the count and the forecast are made once; accountShares only unless fair_shares is off; dead members are gone. Decisions stay as they were, and no test changed.

--- a/src/graph/Resources.h
+++ b/src/graph/Resources.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "core/Time.h"
+
 #include <algorithm>
+#include <cstddef>
 #include <cstdint>
 #include <utility>
 
@@ -68,6 +71,16 @@
     }
 };
 
+/// @param demand Demand of each task.
+/// @param tasks Number of tasks.
+/// @param time Time for which they run.
+/// @return Work of the tasks, in core-equivalent seconds.
+inline double workOf(const Resources &demand, std::size_t tasks, Duration time)
+{
+    constexpr double microsecondsPerSecond = 1e6;
+    return demand.coreEquivalents() * static_cast<double>(tasks) * static_cast<double>(time.count()) / microsecondsPerSecond;
+}
+
 /// @param left First summand.
 /// @param right Second summand.
 /// @return The sum of both operands for each resource.
--- a/src/headroom/UrgentDemand.cpp
+++ b/src/headroom/UrgentDemand.cpp
@@ -39,9 +39,4 @@
     return static_cast<std::int64_t>(std::ceil(mean + margin * std::sqrt(variance)));
 }
 
-void UrgentDemand::clear()
-{
-    m_arrivals.clear();
-}
-
 } // namespace banyanlock
--- a/src/headroom/UrgentDemand.h
+++ b/src/headroom/UrgentDemand.h
@@ -26,9 +26,6 @@
     /// @return Accelerators to keep for urgent units, including those that urgent units hold; zero if none have arrived lately.
     std::int64_t acceleratorsToKeep(TimePoint now);
 
-    /// Forgets all arrivals.
-    void clear();
-
 private:
     static constexpr Duration window = fromMilliseconds(15000); ///< Arrivals that count; several times a usual interval and run time.
     static constexpr std::size_t minArrivals = 4; ///< Arrivals within the window from which the demand is considered recurrent.
--- a/src/pool/PoolHeadroom.cpp
+++ b/src/pool/PoolHeadroom.cpp
@@ -19,10 +19,8 @@
 /// @return Forecast work of a unit of the group, in core-equivalent seconds.
 double workOfUnit(const PlanGroup &group)
 {
-    constexpr double microsecondsPerSecond = 1e6;
     const StepSpec &step = group.spec();
-    return step.demand.coreEquivalents() * static_cast<double>(membersOf(step)) * static_cast<double>(group.expected.count())
-        / microsecondsPerSecond;
+    return workOf(step.demand, membersOf(step), group.expected);
 }
 
 } // namespace
@@ -42,7 +40,9 @@
     }
     PlanOptions options;
     options.holdRoom = holds;
-    accountShares(now);
+    if (m_parts.fairShares != PartMode::Off) {
+        accountShares(now);
+    }
     options.order = orderByShares(groups);
     return options;
 }
@@ -52,9 +52,9 @@
     constexpr Duration maxSpan = fromMilliseconds(2000); // after a pause, the present use says little about the past
     const Duration span = std::min(now - m_sharesAccountedAt, maxSpan);
     m_sharesAccountedAt = now;
-    m_capacity = Resources();
+    Resources capacity;
     for (const PlanWorker &worker : m_planWorkers) {
-        m_capacity += worker.usable ? worker.capacity : Resources();
+        capacity += worker.usable ? worker.capacity : Resources();
     }
     std::map<std::string_view, Resources> held;
     for (const auto &[id, unit] : m_units) {
@@ -64,9 +64,9 @@
         }
     }
     m_shares.advance(span);
-    m_ageing.accrue(span, m_capacity);
+    m_ageing.accrue(span, capacity);
     for (const auto &[workspace, resources] : held) {
-        m_shares.use(workspace, resources, span, m_capacity);
+        m_shares.use(workspace, resources, span, capacity);
     }
 }
 
--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -246,9 +246,7 @@
     for (const std::size_t victim : placement.stops) {
         lostWork += state.victims[victim].lostWork;
     }
-    constexpr double microsecondsPerSecond = 1e6;
-    const double ownWork = step.demand.coreEquivalents() * static_cast<double>(membersOf(step)) * static_cast<double>(step.estimate.count())
-        / microsecondsPerSecond;
+    const double ownWork = workOf(step.demand, membersOf(step), step.estimate);
     return group.group.guaranteed || lostWork <= ownWork * m_policy.maxLostWorkRatio;
 }
 
@@ -296,19 +294,16 @@
             state.capacity.addStopping(worker, state.victims[victim].demand);
         }
     }
-    // Resources are reserved for the unit until the stopped tasks have ended.
-    for (const std::uint32_t worker : placement.workers) {
-        state.capacity.reserve(worker, group.spec().demand);
-    }
-    state.refused.clear(); // a reservation can end a shortage of single resources
+    hold(group, state, placement);
 }
 
 void PoolPlanner::hold(const PlanGroup &group, PlanState &state, const Placement &placement)
 {
+    // Resources are reserved for the unit until the units that it waits for have ended.
     for (const std::uint32_t worker : placement.workers) {
         state.capacity.reserve(worker, group.spec().demand);
     }
-    state.refused.clear();
+    state.refused.clear(); // a reservation can end a shortage of single resources
 }
 
 std::optional<Duration> PoolPlanner::findEarliestStart(const GroupState &group, PlanState &state, Placement &placement) const
@@ -360,9 +355,7 @@
     if (!findEarliestStart(group, state, placement)) {
         return;
     }
-    constexpr double microsecondsPerSecond = 1e6;
-    const double ownWork = step.demand.coreEquivalents() * static_cast<double>(membersOf(step))
-        * static_cast<double>(group.group.expected.count()) / microsecondsPerSecond;
+    const double ownWork = workOf(step.demand, membersOf(step), group.group.expected);
     if (placement.cost <= ownWork * m_policy.maxIdleWorkRatio) {
         hold(group.group, state, placement);
     }
--- a/src/pool/PoolPlanner.h
+++ b/src/pool/PoolPlanner.h
@@ -67,7 +67,7 @@
         std::vector<bool> stopped; // by victim
         std::vector<std::vector<std::size_t>> victimsOn; // by worker, least expensive first; empty until a unit needs them
         std::map<std::string_view, std::vector<Resources>> refused; // by service: demands of single tasks that fit nowhere
-        PlanOptions options;
+        const PlanOptions &options;
         std::set<std::pair<std::string_view, std::uint32_t>> held; // services and priorities for which room is held
     };
 
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -213,10 +213,13 @@
     PlanGroup last = group;
     last.lastAttempt = true;
     last.indexes.clear();
+    const auto collectAgain = [&](TimePoint at) {
+        waiting.collectAgainAt = waiting.collectAgainAt == TimePoint() ? at : std::min(waiting.collectAgainAt, at);
+    };
     std::erase_if(group.indexes, [&](std::uint32_t index) {
         const UnitKey key{group.occurrence, group.step, index};
         if (const std::optional<TimePoint> until = m_backOff.delayedUntil(job.id, key, now)) {
-            waiting.collectAgainAt = waiting.collectAgainAt == TimePoint() ? *until : std::min(waiting.collectAgainAt, *until);
+            collectAgain(*until);
             return true;
         }
         // Units of a step with a spread limit stay in one group, since the planner counts the step's tasks on a worker by group.
@@ -224,8 +227,7 @@
         if (group.spec().spreadLimit != 0 || failure == m_lastAttemptsUntil.end() || now >= failure->second) {
             return false;
         }
-        waiting.collectAgainAt
-            = waiting.collectAgainAt == TimePoint() ? failure->second : std::min(waiting.collectAgainAt, failure->second);
+        collectAgain(failure->second);
         last.indexes.push_back(index);
         return true;
     });
@@ -239,6 +241,7 @@
 std::vector<PlanGroup> PoolScheduler::waitingGroups(const std::set<const GraphRecord *> &guaranteed, TimePoint now)
 {
     std::vector<PlanGroup> groups;
+    const bool usesLearnedTimes = m_runTimes.contradictedKeys() > 0;
     for (const auto &[id, job] : m_jobs.open()) {
         if (job->cancelled || hasEnded(job->progress.state) || m_setAside.contains(id)) {
             continue;
@@ -247,7 +250,7 @@
         if (waiting.changed || (waiting.collectAgainAt != TimePoint() && now >= waiting.collectAgainAt)) {
             collectGroups(*job, waiting, now);
         }
-        if (m_runTimes.contradictedKeys() > 0 && !waiting.groups.empty()) {
+        if (usesLearnedTimes && !waiting.groups.empty()) {
             std::vector<Duration> runTimes;
             for (std::uint32_t step = 0; step < job->spec.steps.size(); ++step) {
                 runTimes.push_back(forecastOf(*job, step).expected);
@@ -256,15 +259,15 @@
             waiting.objective = objectiveOf(job->terms, std::ranges::max(waiting.criticalPaths));
         }
         for (PlanGroup &group : waiting.groups) {
+            group.expected = forecastOf(*job, group.step).expected;
             const auto [since, arrived] = m_waitingSince.try_emplace({id, {group.occurrence, group.step, 0}}, now);
             if (arrived && job->terms.priority == 0) {
                 const StepSpec &step = group.spec();
-                m_urgentDemand.addArrival(step.demand.accelerators * step.tasks, forecastOf(*job, group.step).expected, now);
+                m_urgentDemand.addArrival(step.demand.accelerators * step.tasks, group.expected, now);
             }
             group.waited = now - since->second;
             group.slack = slackOf(*job, waiting, group.occurrence, group.step, now);
             group.guaranteed = guaranteed.contains(job);
-            group.expected = forecastOf(*job, group.step).expected;
             group.needed = waiting.criticalPaths[group.step];
             group.reach = reachOf(waiting.objective, waiting.objective - group.slack - group.needed, group.needed);
             groups.push_back(group);
@@ -289,9 +292,7 @@
         constexpr Duration checkpointInterval = fromMilliseconds(1000); // bounds the work lost by stopping a checkpointing task
         const Duration elapsed = now - unit.startedAt;
         const Duration lost = step.checkpoints ? std::min(elapsed, checkpointInterval) : elapsed;
-        constexpr double microsecondsPerSecond = 1e6;
-        victim.lostWork = step.demand.coreEquivalents() * static_cast<double>(unit.members.size()) * static_cast<double>(lost.count())
-            / microsecondsPerSecond;
+        victim.lostWork = workOf(step.demand, unit.members.size(), lost);
         victim.remaining = remainingOf(unit, now);
         for (const ActiveMember &member : unit.members) {
             if (!member.ending) {
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -375,7 +375,6 @@
     ShareTable m_shares;
     AgeingBudget m_ageing;
     bool m_agedFirst = false; // in the order of the latest plan
-    Resources m_capacity; // of all workers, as of the latest plan
     TimePoint m_sharesAccountedAt{};
     bool m_usesShares = false; // as of the latest plan
     bool m_usesSpeeds = false; // as of the latest plan
--- a/src/poolhost/PoolSettings.cpp
+++ b/src/poolhost/PoolSettings.cpp
@@ -1,16 +1,44 @@
 #include "poolhost/PoolSettings.h"
 
 #include <array>
+#include <vector>
 
 namespace banyanlock
 {
 
+namespace
+{
+
+/// Adds the limits of what a process holds for its callers, which both roles have.
+/// @tparam S Settings structure of the role.
+template <typename S> std::vector<SettingKey<S>> withCallerLimits(std::vector<SettingKey<S>> keys)
+{
+    using Key = SettingKey<S>;
+    using enum SettingUnit;
+    const std::array limits{
+        Key{"memory_mb", Count, &S::memoryMegabytes, 32, 1048576, false, "Memory of the instance, in MiB."},
+        Key{"max_body_bytes", Bytes, &S::maxBodyBytes, 262144, 16777216, false,
+            "Maximum size of a request's body; a larger one closes the connection."},
+        Key{"max_descriptors", Count, &S::maxDescriptors, 64, 1048576, false,
+            "File descriptors that the process may open; a lower limit of the operating system applies instead."},
+        Key{"max_connections", Count, &S::maxConnections, 0, 1048576, false,
+            "Maximum number of connections from outside; above it the longest idle one is closed. 0: three quarters of the descriptors."},
+        Key{"caller_memory_mb", Count, &S::callerMemoryMegabytes, 0, 1048576, false,
+            "Memory for requests and unsent answers, in MiB; above it the largest and longest stalled are closed. 0: a quarter of the "
+            "memory."},
+    };
+    keys.insert(keys.end(), limits.begin(), limits.end());
+    return keys;
+}
+
+} // namespace
+
 std::span<const SettingKey<PoolEntrySettings>> poolEntrySettingKeys()
 {
     using S = PoolEntrySettings;
     using Key = SettingKey<S>;
     using enum SettingUnit;
-    static const std::array keys{
+    static const std::vector<Key> keys = withCallerLimits<S>({
         Key{"name", Text, &S::name, 0, 0, true, "Name of the entry, unique among the entries."},
         Key{"failure_domain", Text, &S::failureDomain, 0, 0, true, "Failure domain in which the entry runs."},
         Key{"caller_address", Address, &S::callerAddress, 0, 0, true, "Address for callers."},
@@ -40,17 +68,7 @@
         Key{"worker_records", Switch, &S::workerRecords, 0, 0, false,
             "Whether placement considers each worker's failures: `auto` (once a unit is down to its last attempt), `on` or `off`. By "
             "default off: on one day under load it cost callers more than it saved."},
-        Key{"memory_mb", Count, &S::memoryMegabytes, 32, 1048576, false, "Memory of the instance, in MiB."},
-        Key{"max_body_bytes", Bytes, &S::maxBodyBytes, 262144, 16777216, false,
-            "Maximum size of a request's body; a larger one closes the connection."},
-        Key{"max_descriptors", Count, &S::maxDescriptors, 64, 1048576, false,
-            "File descriptors that the process may open; a lower limit of the operating system applies instead."},
-        Key{"max_connections", Count, &S::maxConnections, 0, 1048576, false,
-            "Maximum number of connections from outside; above it the longest idle one is closed. 0: three quarters of the descriptors."},
-        Key{"caller_memory_mb", Count, &S::callerMemoryMegabytes, 0, 1048576, false,
-            "Memory for requests and unsent answers, in MiB; above it the largest and longest stalled are closed. 0: a quarter of the "
-            "memory."},
-    };
+    });
     return keys;
 }
 
@@ -59,7 +77,7 @@
     using S = PoolAgentSettings;
     using Key = SettingKey<S>;
     using enum SettingUnit;
-    static const std::array keys{
+    static const std::vector<Key> keys = withCallerLimits<S>({
         Key{"name", Text, &S::name, 0, 0, true, "Name of the agent, unique among the agents."},
         Key{"failure_domain", Text, &S::failureDomain, 0, 0, true, "Failure domain in which the agent runs."},
         Key{"announce_address", Address, &S::announceAddress, 0, 0, true, "Address for the worker's announcements."},
@@ -69,17 +87,7 @@
         Key{"table_url", Url, &S::tableUrl, 0, 0, true, "URL of the platform's table service."},
         Key{"log_level", Text, &S::logLevel, 0, 0, false, "`debug`, `info`, `warning` or `error`."},
         Key{"lease_ms", Milliseconds, &S::leaseMilliseconds, 1000, 60000, false, "Lease duration of the worker's tasks."},
-        Key{"memory_mb", Count, &S::memoryMegabytes, 32, 1048576, false, "Memory of the instance, in MiB."},
-        Key{"max_body_bytes", Bytes, &S::maxBodyBytes, 262144, 16777216, false,
-            "Maximum size of a request's body; a larger one closes the connection."},
-        Key{"max_descriptors", Count, &S::maxDescriptors, 64, 1048576, false,
-            "File descriptors that the process may open; a lower limit of the operating system applies instead."},
-        Key{"max_connections", Count, &S::maxConnections, 0, 1048576, false,
-            "Maximum number of connections from outside; above it the longest idle one is closed. 0: three quarters of the descriptors."},
-        Key{"caller_memory_mb", Count, &S::callerMemoryMegabytes, 0, 1048576, false,
-            "Memory for requests and unsent answers, in MiB; above it the largest and longest stalled are closed. 0: a quarter of the "
-            "memory."},
-    };
+    });
     return keys;
 }
 
--- a/src/runtimes/RunTimeModel.cpp
+++ b/src/runtimes/RunTimeModel.cpp
@@ -56,13 +56,11 @@
     const bool straggler
         = expected.learned && model.steps >= m_policy.minSteps && logActual > logOf(expected.expected) + std::log(m_policy.stragglerFactor);
     if (straggler) {
-        ++model.stragglers;
         evict();
         return;
     }
     StepModel &known = m_steps[step];
-    if (known.order == 0) {
-        known.order = m_uses;
+    if (known.runTime.count == 0.0) {
         m_stepOrder.push_back(step);
         addToKey(model, declared, logActual); // the runs of one step are alike, so only the first tells something about the key
     }
@@ -183,11 +181,4 @@
     }
 }
 
-void RunTimeModel::clear()
-{
-    m_keys.clear();
-    m_steps.clear();
-    m_stepOrder.clear();
-}
-
 } // namespace banyanlock
--- a/src/runtimes/RunTimeModel.h
+++ b/src/runtimes/RunTimeModel.h
@@ -102,9 +102,6 @@
     /// @return Number of keys whose declared run times have been replaced.
     std::size_t contradictedKeys() const;
 
-    /// Forgets everything.
-    void clear();
-
 private:
     /// Mean and variance of a logarithm; recent values weigh more.
     struct LogStatistics {
@@ -121,7 +118,6 @@
         LogStatistics error; // of the declared times: actual to declared
         std::deque<double> absoluteErrors; // of the newest steps, as logarithms
         std::uint32_t steps = 0;
-        std::uint32_t stragglers = 0;
         std::uint64_t lastUse = 0;
         bool contradicted = false;
     };
@@ -129,7 +125,6 @@
     /// What is known of the runs of a step.
     struct StepModel {
         LogStatistics runTime;
-        std::uint64_t order = 0;
     };
 
     bool isInUse(const KeyModel &key) const;
