--- a/review/standins-2/main.cpp
+++ b/review/standins-2/main.cpp
@@ -204,6 +204,14 @@
     if (!deployment.waitUntilReady(20000)) {
         return Verdict::NotRun;
     }
+    const std::string lasting = "6c0e7a21d94b36f8";
+    const Json task{{"count", 1}, {"cpu", 1000}, {"memMb", 100}, {"gpu", 1}, {"requirements", "b"}, {"longRunning", true}};
+    if (!deployment.submit(2, lasting, {{"spec", "serve"}, {"phases", Json::array({task})}}, {{1, false, true, 0, 1000, 100, 1}})
+        || !waitFor(10000, [&] {
+               return deployment.executors().running(lasting) == 1;
+           })) {
+        return Verdict::NotRun;
+    }
     sleepFor(3000); // two heartbeats
     const ExecutorPlace &place = deployment.executor(7).place();
     if (context.trouble) {
@@ -228,7 +236,9 @@
     if (!submitLabelled(deployment, job)) {
         return Verdict::NotRun;
     }
-    return judgeStart(deployment, context, job);
+    const Verdict verdict = judgeStart(deployment, context, job);
+    context.record.write("tasks of the lasting job " + lasting + " at work: " + std::to_string(deployment.executors().running(lasting)));
+    return verdict;
 }
 
 /// A job is placed on an executor that has just crashed silently, so none of its tasks begins.
