Ask the worker before another incarnation takes its place

Cause: the agent replaced its worker by any announcement whose birth was not earlier, and dropped the worker's own announcements as stale from then on. Evidence: worker_life_changed to the foreign id, then stale_announcement_dropped for each heartbeat of the executor.

Now the agent asks the worker for its lists under the announced id, and uses the incarnation only if the answer has the announced birth. Sequence numbers count for each incarnation and service apart. For the very incarnation that is there, a service that the configuration names goes before another one; the owner sends the names with its calls. Nothing is started while another incarnation of the same id is announced and not settled.

--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -31,6 +31,19 @@
     }
 }
 
+const std::vector<std::string> &PoolScheduler::namedServices()
+{
+    if (m_servicesRowVersion != m_operators.configurationRowVersion) {
+        m_servicesRowVersion = m_operators.configurationRowVersion;
+        std::set<std::string> names;
+        for (const PoolQueue &queue : m_operators.configuration.queues) {
+            names.insert(queue.service);
+        }
+        m_services.assign(names.begin(), names.end());
+    }
+    return m_services;
+}
+
 void PoolScheduler::sendCall(PoolWorker &worker, bool waits, TimePoint now)
 {
     CallAgent call;
@@ -38,6 +51,7 @@
     call.call = m_nextCall++;
     SuperviseRequest &request = call.request;
     request.epoch = m_epoch;
+    request.services = namedServices();
     if (worker.known) {
         request.validUntil = worker.agentClock(now) + m_timing.callValidity;
         request.renews = m_renewalsAllowed && worker.status.runsKnown && !isSilent(worker, now);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -359,10 +359,13 @@
 
     // PoolCalls.cpp: calls to agents
     void sendCalls(TimePoint now);
+    const std::vector<std::string> &namedServices();
     void sendCall(PoolWorker &worker, bool waits, TimePoint now);
 
     GraphTable &m_jobs;
     const OperatorView &m_operators;
+    std::vector<std::string> m_services; // named by the configuration of m_servicesRowVersion
+    std::uint64_t m_servicesRowVersion = 0;
     OperatorRows m_rows;
     PoolTiming m_timing;
     PoolPlanner m_planner;
--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -16,6 +16,9 @@
 
 void WorkerSupervisor::onLists(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now)
 {
+    if (m_worker && m_queriedIncarnation == action.incarnation && m_querySentAt == action.sentAt) {
+        onIdentityAnswer(action, answer, now);
+    }
     if (!m_worker || action.incarnation != m_worker->incarnation) {
         return;
     }
@@ -27,7 +30,8 @@
         markChanged();
     }
     const std::optional<WorkerLists> &lists = answer.lists;
-    const bool otherIncarnation = lists && lists->startedUnixMilliseconds != m_worker->incarnation.startedUnixMilliseconds;
+    const bool otherIncarnation = answer.failedBy(RenewalFailure::OtherWorker)
+        || (lists && lists->startedUnixMilliseconds != m_worker->incarnation.startedUnixMilliseconds);
     m_endNumbersUncertain = !lists || otherIncarnation; // a restarting worker drops its connections
     if (m_endNumbersUncertain) {
         onListsLost(action, answer, otherIncarnation, now);
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -130,6 +130,7 @@
     WorkerIncarnation acknowledgedIncarnation; ///< Incarnation of the worker whose ends are acknowledged.
     std::uint64_t acknowledgedEnd = 0; ///< Ends up to and including this number are recorded.
     std::uint64_t workerFence = 0; ///< Latest fencing token used for that incarnation, as far as the owner knows; zero if unknown.
+    std::vector<std::string> services; ///< Services that the configuration names, in order; empty if the owner has no configuration.
     std::uint64_t knownIncarnation = 0; ///< Agent incarnation of the latest status that the owner has.
     std::uint64_t knownStatus = 0; ///< Version of the latest status that the owner has.
     Duration wait{}; ///< Maximum time to wait for a newer status.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -88,54 +88,6 @@
     markChanged();
 }
 
-bool WorkerSupervisor::onAnnouncement(const WorkerAnnouncement &announcement)
-{
-    if (m_worker) {
-        const WorkerIncarnation &known = m_worker->incarnation;
-        const bool sameIncarnation = known == announcement.incarnation;
-        // A delayed announcement of an earlier incarnation must not replace a later one.
-        if (sameIncarnation ? announcement.sequence <= m_worker->sequence
-                            : announcement.incarnation.startedUnixMilliseconds < known.startedUnixMilliseconds) {
-            Log::info("stale_announcement_dropped",
-                      {{"worker", announcement.incarnation.worker},
-                       {"sequence", static_cast<std::int64_t>(announcement.sequence)},
-                       {"known_sequence", static_cast<std::int64_t>(m_worker->sequence)}});
-            return false;
-        }
-        if (!sameIncarnation) {
-            Log::info("worker_life_changed",
-                      {{"worker", announcement.incarnation.worker},
-                       {"born", announcement.incarnation.startedUnixMilliseconds},
-                       {"earlier_worker", known.worker},
-                       {"earlier_born", known.startedUnixMilliseconds}});
-            resetIncarnationState();
-        }
-    }
-    WorkerAnnouncement previous = m_worker.value_or(WorkerAnnouncement());
-    previous.sequence = announcement.sequence;
-    previous.minTimeUntilExit = announcement.minTimeUntilExit;
-    const bool isUpdate = !m_worker || previous != announcement;
-    m_worker = announcement;
-    if (isUpdate) {
-        markChanged();
-        Log::info("worker_announced",
-                  {{"worker", announcement.incarnation.worker},
-                   {"born", announcement.incarnation.startedUnixMilliseconds},
-                   {"draining", std::string(announcement.draining ? "yes" : "no")}});
-    }
-    return isUpdate;
-}
-
-void WorkerSupervisor::onWorkerLeft(const std::string &worker)
-{
-    if (!m_worker || m_worker->incarnation.worker != worker) {
-        return;
-    }
-    Log::info("worker_left", {{"worker", worker}});
-    m_worker->draining = true;
-    markChanged();
-}
-
 bool WorkerSupervisor::onSupervise(const SuperviseRequest &request, TimePoint now)
 {
     if (request.epoch < m_epoch) {
@@ -153,6 +105,9 @@
         m_nextRenewal = now;
         markChanged();
     }
+    if (m_announcements.setServices(request.services)) {
+        useBestAnnouncement();
+    }
     if (!m_registered && m_worker && request.acknowledgedIncarnation == m_worker->incarnation && request.workerFence > m_fence) {
         m_fence = request.workerFence; // suffices to renew the lease of what an earlier process has started
         m_nextRenewal = now;
@@ -234,7 +189,7 @@
         refuseStart(order.run, "worker does not answer"); // its clock and its lease are not known well enough
     } else if (!isFenced()) {
         refuseStart(order.run, "worker has not confirmed the agent's fencing token yet");
-    } else if (m_incarnationUncertain) {
+    } else if (m_incarnationUncertain || m_announcements.hasOtherIncarnationOf(m_worker->incarnation)) {
         refuseStart(order.run, "worker may have restarted");
     } else {
         Log::info("task_start_ordered", {{"run", describe(order.run)}, {"epoch", static_cast<std::int64_t>(m_epoch)}});
@@ -398,6 +353,7 @@
     checkSilence(now);
     sendStops(now);
     sendRenewal(now);
+    sendIdentityQuery(now);
 }
 
 TimePoint WorkerSupervisor::nextStep(TimePoint now) const
@@ -409,6 +365,10 @@
             next = std::min(next, std::max(m_renewalSentAt + m_timing.retryInterval, now + fromMilliseconds(1)));
         }
     }
+    if (needsIdentityQuery()) {
+        const TimePoint due = m_queriedIncarnation ? m_querySentAt + m_timing.answerMargin : m_nextQuery;
+        next = std::min(next, std::max(due, now + fromMilliseconds(1)));
+    }
     for (const auto &[run, pending] : m_stops) {
         if (!pending.outstanding) {
             next = std::min(next, std::max(pending.nextTry, now + fromMilliseconds(1)));
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Counters.h"
+#include "pool/AnnouncementTable.h"
 #include "pool/WorkerStatus.h"
 
 #include <cstdint>
@@ -90,6 +91,7 @@
     ConnectionRefused, ///< The worker's address refused the connection.
     Disconnected, ///< The connection broke before the answer.
     Busy, ///< The worker was too busy and did nothing.
+    OtherWorker, ///< A worker with another id answered and did nothing.
 };
 
 /// Answer to a renewal.
@@ -113,6 +115,9 @@
 /// Calls name the worker only by its id, and a restarted worker has seen no fencing token. Each process of the agent therefore draws its
 /// tokens from the version of its registration in the table service, and raises its token whenever the worker may have restarted: lists
 /// that answer the raised token prove that no order sent under a lower one, by whichever process, can still take effect.
+///
+/// Anybody may send an announcement. Only the first one is used as it is, so that the owner learns of the worker; another incarnation takes
+/// its place once the worker itself, asked for its lists under the announced id, has answered with the announced start time.
 class WorkerSupervisor
 {
 public:
@@ -121,9 +126,9 @@
     /// @param counters Counters to update.
     WorkerSupervisor(std::uint64_t incarnation, SupervisorTiming timing, Counters &counters);
 
-    /// Handles an announcement of the worker.
+    /// Handles an announcement at the worker's address. That of another incarnation takes effect when the worker has confirmed it.
     /// @param announcement The announcement.
-    /// @return Whether it changed anything; an announcement of an earlier incarnation or without a higher sequence number is dropped.
+    /// @return Whether it changed the announcement in use; one without a higher sequence number is dropped.
     bool onAnnouncement(const WorkerAnnouncement &announcement);
 
     /// Handles the departure of the worker: it counts as draining from now on.
@@ -211,6 +216,11 @@
         return m_ends.empty() && m_heldEnds.empty() && !m_endsTruncated;
     }
 
+    bool useBestAnnouncement();
+    bool needsIdentityQuery() const;
+    void sendIdentityQuery(TimePoint now);
+    void onIdentityAnswer(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now);
+    void changeIncarnation(const WorkerIncarnation &incarnation);
     void resetIncarnationState();
     void raiseFence();
     bool isFenced() const
@@ -241,7 +251,11 @@
     SupervisorTiming m_timing;
     Counters &m_counters;
     std::uint64_t m_statusNumber = 1;
-    std::optional<WorkerAnnouncement> m_worker;
+    AnnouncementTable m_announcements;
+    std::optional<WorkerAnnouncement> m_worker; // the announcement in use
+    std::optional<WorkerIncarnation> m_queriedIncarnation; // the worker was asked whether it is this incarnation
+    TimePoint m_querySentAt{};
+    TimePoint m_nextQuery{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_lastOrderBatch = 0;
     TimePoint m_ownerContact{};
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -122,6 +122,7 @@
         }
         const Result<WorkerAnnouncement> announcement = Platform::decodeAnnouncement(request);
         if (!isOk(announcement)) {
+            m_counters.add(Counter::PoolAnnouncementsUnreadable);
             Log::warning("announcement_refused", {{"reason", errorOf(announcement).detail}});
             response.status = badRequest;
             respond(std::move(response));
--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -134,6 +134,10 @@
     builder.setKnownStatus(request.knownStatus);
     builder.setWaitMicroseconds(request.wait.count());
     builder.setWorkerFence(request.workerFence);
+    auto services = builder.initServices(static_cast<unsigned>(request.services.size()));
+    for (unsigned index = 0; index < request.services.size(); ++index) {
+        services.set(index, request.services[index]);
+    }
     auto orders = builder.initOrders(static_cast<unsigned>(request.orders.size()));
     for (unsigned index = 0; index < request.orders.size(); ++index) {
         encodeOrder(request.orders[index], orders[index]);
@@ -153,6 +157,9 @@
     request.knownStatus = reader.getKnownStatus();
     request.wait = std::clamp(Duration(reader.getWaitMicroseconds()), Duration::zero(), InputLimits::span);
     request.workerFence = reader.getWorkerFence();
+    for (const auto service : reader.getServices()) {
+        request.services.emplace_back(service.cStr());
+    }
     for (const auto order : reader.getOrders()) {
         request.orders.push_back(decodeOrder(order));
     }
--- a/src/rpc/banyanlock.capnp
+++ b/src/rpc/banyanlock.capnp
@@ -117,6 +117,7 @@
   knownStatus @8 :UInt64;
   waitMicroseconds @9 :Int64;
   workerFence @10 :UInt64;
+  services @11 :List(Text);
 }
 
 struct RunReport {
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -78,6 +78,7 @@
 PoolWorld::PoolWorld(const WorldOptions &options)
     : m_options(options)
     , m_random(options.seed)
+    , m_foreignRandom(options.seed)
 {
     static const bool traceEnabled = std::getenv("BANYANLOCK_TRACE") != nullptr;
     static bool logStarted = false;
@@ -118,17 +119,7 @@
     m_network.repeat(fromMilliseconds(1000), [this](TimePoint) {
         for (const std::unique_ptr<Agent> &agent : m_agents) {
             if (!agent->removed && !agent->partitionedFromWorker && !agent->crashed) {
-                Agent *target = agent.get();
-                const auto arrive = [target, announcement = agent->worker->announce()] {
-                    target->loop->after(Duration::zero(), [target, announcement] {
-                        target->supervisor->onAnnouncement(announcement);
-                    });
-                };
-                if (m_options.lateAnnouncementRate > 0.0 && m_random.chance(m_options.lateAnnouncementRate)) {
-                    m_network.after(fromMilliseconds(1000 + m_random.below(11000)), arrive);
-                } else {
-                    arrive();
-                }
+                announce(*agent);
             }
         }
     });
@@ -136,6 +127,58 @@
 
 PoolWorld::~PoolWorld() = default;
 
+void PoolWorld::announce(Agent &agent)
+{
+    const auto arrive = [&agent](const WorkerAnnouncement &announcement) {
+        agent.loop->after(Duration::zero(), [&agent, announcement] {
+            agent.supervisor->onAnnouncement(announcement);
+        });
+    };
+    const WorkerAnnouncement own = agent.worker->announce();
+    if (m_options.lateAnnouncementRate > 0.0 && m_random.chance(m_options.lateAnnouncementRate)) {
+        m_network.after(fromMilliseconds(1000 + m_random.below(11000)), [arrive, own] {
+            arrive(own);
+        });
+    } else {
+        arrive(own);
+    }
+    if (m_options.foreignAnnouncementRate > 0.0 && m_foreignRandom.chance(m_options.foreignAnnouncementRate)) {
+        arrive(makeForeignAnnouncement(own));
+    }
+}
+
+WorkerAnnouncement PoolWorld::makeForeignAnnouncement(const WorkerAnnouncement &own)
+{
+    constexpr std::int64_t minute = 60'000;
+    WorkerAnnouncement foreign = own;
+    foreign.sequence = m_foreignRandom.chance(0.5) ? 0xffffffff : 1;
+    foreign.draining = m_foreignRandom.chance(0.5);
+    foreign.capacity = {1000, 1000, 1};
+    switch (m_foreignRandom.below(4)) {
+    case 0:
+        foreign.incarnation.worker = "foreign-" + std::to_string(m_foreignRandom.below(3));
+        break;
+    case 1:
+        foreign.incarnation.startedUnixMilliseconds += minute;
+        break;
+    case 2:
+        foreign.incarnation.startedUnixMilliseconds -= minute;
+        break;
+    default:
+        foreign.service = "foreign"; // for the very incarnation that is there
+    }
+    return foreign;
+}
+
+bool PoolWorld::isWorkerUsed(std::size_t worker) const
+{
+    const Agent &agent = *m_agents.at(worker);
+    const WorkerStatus status = agent.supervisor->status(m_now, 0);
+    const WorkerAnnouncement &own = agent.worker->announcement();
+    return status.runsKnown && status.answering && status.worker.incarnation == own.incarnation && status.worker.service == own.service
+        && status.worker.capacity == own.capacity && status.worker.draining == own.draining;
+}
+
 std::vector<VirtualLoop *> PoolWorld::runningLoops() const
 {
     std::vector<VirtualLoop *> loops{const_cast<VirtualLoop *>(&m_network)};
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -101,6 +101,7 @@
     double lateRenewalRate = 0.0; ///< The same for renewals of workers' leases.
     double slowAnswerRate = 0.0; ///< Fraction of answers that take up to 0.4 s, so that later ones overtake them.
     double lateAnnouncementRate = 0.0; ///< Fraction of announcements that arrive 1 to 12 s late.
+    double foreignAnnouncementRate = 0.0; ///< Probability that another writer's announcement follows one of a worker.
     double workerClockRate = 1.0; ///< Rate of the workers' clocks.
     TableLimits tableLimits; ///< Limits of the table service.
     std::size_t maxListedEnds = banyanlock::maxListedEnds; ///< Maximum number of ends that a worker lists at once.
@@ -185,6 +186,10 @@
     /// @param delay Time that it has waited.
     void delayOwner(Duration delay);
 
+    /// @param worker Index of a worker.
+    /// @return Whether its agent reports the incarnation that is there, with its own service and capacity, as answering and not draining.
+    bool isWorkerUsed(std::size_t worker) const;
+
     /// @return State of a job as recorded in the table service.
     GraphState stateOf(const std::string &job) const;
 
@@ -212,6 +217,8 @@
 
     void makeEntry(std::size_t index);
     void makeAgent(std::size_t index);
+    void announce(Agent &agent);
+    WorkerAnnouncement makeForeignAnnouncement(const WorkerAnnouncement &own);
     void flushEntry(Entry &entry);
     void flushAgent(Agent &agent);
     Duration answerDelay();
@@ -231,6 +238,7 @@
     TimePoint m_now{std::chrono::seconds(1000)};
     VirtualLoop m_network{m_now}; // carries messages in flight and advances the workers
     Random m_random;
+    Random m_foreignRandom; // apart from the other one, so that foreign announcements leave the rest of a seed's faults as they are
     VirtualTableService m_tableService;
     RunChecks m_checks{[this] {
         return m_now;
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -203,6 +203,15 @@
             });
             return;
         }
+        const bool otherWorker = received.incarnation.worker != agent.worker->announcement().incarnation.worker;
+        if (otherWorker && !agent.partitionedFromWorker && !agent.crashed) {
+            agent.loop->after(answerDelay(), [this, &agent, generation, action = *renewal] {
+                if (generation == agent.generation) {
+                    agent.supervisor->onLists(action, {std::nullopt, RenewalFailure::OtherWorker}, m_now);
+                }
+            });
+            return;
+        }
         answerRenewal(agent.index, generation, *renewal, received, m_now + renewal->wait);
         return;
     }
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -78,6 +78,7 @@
         m_workers.push_back(
             std::make_unique<WorkerServer>(m_loop, m_http, endpoint(workerPorts + index), announceUrl, std::move(model), m_random));
         m_workers.back()->setCallsBeforeContact(m_options.callsBeforeContact);
+        m_workers.back()->setForeignAnnouncements(0.1);
         m_workers.back()->setBusy(m_options.cutAnswers ? 0.4 : 0.0);
         m_workerProxies.push_back(
             std::make_unique<SoakProxy>(m_loop.context(), endpoint(workerProxyPorts + index), endpoint(workerPorts + index)));
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -72,6 +72,7 @@
     , m_announceUrl(std::move(announceUrl))
     , m_model(std::move(model))
     , m_random(random)
+    , m_foreignRandom(endpoint.port)
     , m_server(loop, HttpServerLimits(), m_counters, [this](const ServerRequest &request, const HttpServer::Responder &respond) {
         serve(request, respond);
     })
@@ -226,7 +227,35 @@
 
 void WorkerServer::announce()
 {
-    const WorkerAnnouncement worker = m_model.announce();
+    const WorkerAnnouncement own = m_model.announce();
+    sendAnnouncement(own);
+    if (m_foreignRandom.chance(m_foreignAnnouncements)) {
+        sendAnnouncement(makeForeignAnnouncement(own));
+    }
+}
+
+WorkerAnnouncement WorkerServer::makeForeignAnnouncement(const WorkerAnnouncement &own)
+{
+    constexpr std::int64_t minute = 60'000;
+    WorkerAnnouncement foreign = own;
+    foreign.sequence = m_foreignRandom.chance(0.5) ? 0xffffffff : 1;
+    foreign.draining = m_foreignRandom.chance(0.5);
+    foreign.capacity = {};
+    switch (m_foreignRandom.below(3)) {
+    case 0:
+        foreign.incarnation.worker = "foreign";
+        break;
+    case 1:
+        foreign.incarnation.startedUnixMilliseconds += m_foreignRandom.chance(0.5) ? minute : -minute;
+        break;
+    default:
+        foreign.service = "foreign"; // for the very incarnation that is there
+    }
+    return foreign;
+}
+
+void WorkerServer::sendAnnouncement(const WorkerAnnouncement &worker)
+{
     HttpRequest request;
     request.method = "PUT";
     request.url = m_announceUrl + "/api/instances/" + worker.incarnation.worker;
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -65,6 +65,13 @@
         m_lateAnnouncements = share;
     }
 
+    /// Sets the share of announcements that are followed by one of another writer.
+    /// @param share The share.
+    void setForeignAnnouncements(double share)
+    {
+        m_foreignAnnouncements = share;
+    }
+
 private:
     void serve(const ServerRequest &request, const HttpServer::Responder &respond);
     void takeLate(const ServerRequest &request, const HttpServer::Responder &kept); // while kept, its connection stays silent
@@ -75,15 +82,19 @@
               TimePoint until);
     ServerResponse listsAnswer(const WorkerLists &lists) const;
     void announce();
+    void sendAnnouncement(const WorkerAnnouncement &worker);
+    WorkerAnnouncement makeForeignAnnouncement(const WorkerAnnouncement &own);
 
     EventLoop &m_loop;
     LoopHttp m_http;
     std::string m_announceUrl;
     PoolWorkerModel m_model;
     Random &m_random;
+    Random m_foreignRandom; // apart from the other one, so that foreign announcements leave the faults of a seed as they are
     Counters m_counters;
     double m_lateCalls = 0.0;
     double m_lateAnnouncements = 0.0;
+    double m_foreignAnnouncements = 0.0;
     double m_busy = 0.0;
     bool m_callsBeforeContact = true;
     std::list<HttpServer::Responder> m_waiting; // calls for lists that wait for an end
