Keep all bytes of texts between entries and agents

Cause: the decoder read texts as C strings, and so did the encoder before it: Cap'n Proto's conversion from std::string goes by way of c_str(). Both now pass texts with their length.

--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,6 +5,7 @@
     build-essential cmake ninja-build ccache clang-format clang-tidy doxygen curl
     librestinio-dev libasio-dev libhttp-parser-dev libfmt-dev libcapnp-dev libcxxopts-dev libboost-log-dev libboost-thread-dev
     libboost-system-dev libboost-test-dev libyaml-cpp-dev libcurl4-openssl-dev nlohmann-json3-dev libxxhash-dev libpcg-cpp-dev
+    librapidcheck-dev
 )
 missing=()
 for package in "${packages[@]}"; do
--- a/src/rpc/SupervisionCodec.cpp
+++ b/src/rpc/SupervisionCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "core/InputLimits.h"
 #include "core/Log.h"
+#include "rpc/WireText.h"
 
 #include <algorithm>
 
@@ -26,18 +27,18 @@
 
 void encodeIncarnation(const WorkerIncarnation &incarnation, wire::WorkerLife::Builder builder)
 {
-    builder.setWorker(incarnation.worker);
+    builder.setWorker(readerOf(incarnation.worker));
     builder.setBornUnixMilliseconds(incarnation.startedUnixMilliseconds);
 }
 
 WorkerIncarnation decodeIncarnation(wire::WorkerLife::Reader reader)
 {
-    return {reader.getWorker().cStr(), reader.getBornUnixMilliseconds()};
+    return {textOf(reader.getWorker()), reader.getBornUnixMilliseconds()};
 }
 
 void encodeRun(const RunName &run, wire::RunName::Builder builder)
 {
-    builder.setJob(run.task.job);
+    builder.setJob(readerOf(run.task.job));
     builder.setOccurrence(run.task.occurrence);
     builder.setStep(run.task.step);
     builder.setIndex(run.task.index);
@@ -46,7 +47,7 @@
 
 RunName decodeRun(wire::RunName::Reader reader)
 {
-    return {{reader.getJob().cStr(), reader.getOccurrence(), reader.getStep(), reader.getIndex()}, reader.getRun()};
+    return {{textOf(reader.getJob()), reader.getOccurrence(), reader.getStep(), reader.getIndex()}, reader.getRun()};
 }
 
 RunEnding decodeEnding(std::uint8_t number)
@@ -67,8 +68,8 @@
     order.kind = reader.getKind() == static_cast<std::uint8_t>(TaskOrderKind::Start) ? TaskOrderKind::Start : TaskOrderKind::Stop;
     order.run = decodeRun(reader.getRun());
     order.incarnation = decodeIncarnation(reader.getLife());
-    order.payload = reader.getPayload().cStr();
-    order.checkpoint = reader.getCheckpoint().cStr();
+    order.payload = textOf(reader.getPayload());
+    order.checkpoint = textOf(reader.getCheckpoint());
     order.startBy = decodeTime(reader.getStartByMicroseconds());
     return order;
 }
@@ -78,16 +79,16 @@
     builder.setKind(static_cast<std::uint8_t>(order.kind));
     encodeRun(order.run, builder.initRun());
     encodeIncarnation(order.incarnation, builder.initLife());
-    builder.setPayload(order.payload);
-    builder.setCheckpoint(order.checkpoint);
+    builder.setPayload(readerOf(order.payload));
+    builder.setCheckpoint(readerOf(order.checkpoint));
     builder.setStartByMicroseconds(order.startBy.time_since_epoch().count());
 }
 
 void encodeWorker(const WorkerAnnouncement &worker, wire::WorkerStatus::Builder builder)
 {
     encodeIncarnation(worker.incarnation, builder.initLife());
-    builder.setService(worker.service);
-    builder.setFailureDomain(worker.failureDomain);
+    builder.setService(readerOf(worker.service));
+    builder.setFailureDomain(readerOf(worker.failureDomain));
     builder.setProcessors(worker.capacity.processors);
     builder.setMemory(worker.capacity.memory);
     builder.setAccelerators(worker.capacity.accelerators);
@@ -95,7 +96,7 @@
     builder.setLeavesAfterMicroseconds(worker.minTimeUntilExit.count());
     auto labels = builder.initLabels(static_cast<unsigned>(worker.labels.size()));
     for (unsigned index = 0; index < worker.labels.size(); ++index) {
-        labels.set(index, worker.labels[index]);
+        labels.set(index, readerOf(worker.labels[index]));
     }
 }
 
@@ -103,13 +104,13 @@
 {
     WorkerAnnouncement worker;
     worker.incarnation = decodeIncarnation(reader.getLife());
-    worker.service = reader.getService().cStr();
-    worker.failureDomain = reader.getFailureDomain().cStr();
+    worker.service = textOf(reader.getService());
+    worker.failureDomain = textOf(reader.getFailureDomain());
     worker.capacity = {reader.getProcessors(), reader.getMemory(), reader.getAccelerators()};
     worker.draining = reader.getDraining();
     worker.minTimeUntilExit = Duration(reader.getLeavesAfterMicroseconds());
     for (const auto label : reader.getLabels()) {
-        worker.labels.emplace_back(label.cStr());
+        worker.labels.emplace_back(textOf(label));
     }
     if (!isPlausible(worker)) {
         Log::warning("worker_status_implausible", {{"worker", worker.incarnation.worker}});
@@ -136,7 +137,7 @@
     builder.setWorkerFence(request.workerFence);
     auto services = builder.initServices(static_cast<unsigned>(request.services.size()));
     for (unsigned index = 0; index < request.services.size(); ++index) {
-        services.set(index, request.services[index]);
+        services.set(index, readerOf(request.services[index]));
     }
     auto orders = builder.initOrders(static_cast<unsigned>(request.orders.size()));
     for (unsigned index = 0; index < request.orders.size(); ++index) {
@@ -158,7 +159,7 @@
     request.wait = std::clamp(Duration(reader.getWaitMicroseconds()), Duration::zero(), InputLimits::span);
     request.workerFence = reader.getWorkerFence();
     for (const auto service : reader.getServices()) {
-        request.services.emplace_back(service.cStr());
+        request.services.emplace_back(textOf(service));
     }
     for (const auto order : reader.getOrders()) {
         request.orders.push_back(decodeOrder(order));
@@ -189,7 +190,7 @@
     for (unsigned index = 0; index < status.runs.size(); ++index) {
         encodeRun(status.runs[index].run, runs[index].initRun());
         runs[index].setStarting(status.runs[index].starting);
-        runs[index].setCheckpoint(status.runs[index].checkpoint);
+        runs[index].setCheckpoint(readerOf(status.runs[index].checkpoint));
         runs[index].setPercent(static_cast<std::uint8_t>(std::min(status.runs[index].percent, maxPercent)));
     }
     auto ends = builder.initEnds(static_cast<unsigned>(status.ends.size()));
@@ -197,12 +198,12 @@
         ends[index].setNumber(status.ends[index].number);
         encodeRun(status.ends[index].run, ends[index].initRun());
         ends[index].setEnding(static_cast<std::uint8_t>(status.ends[index].ending));
-        ends[index].setCheckpoint(status.ends[index].checkpoint);
+        ends[index].setCheckpoint(readerOf(status.ends[index].checkpoint));
     }
     auto refusals = builder.initRefusals(static_cast<unsigned>(status.refusals.size()));
     for (unsigned index = 0; index < status.refusals.size(); ++index) {
         encodeRun(status.refusals[index].run, refusals[index].initRun());
-        refusals[index].setReason(status.refusals[index].reason);
+        refusals[index].setReason(readerOf(status.refusals[index].reason));
     }
 }
 
@@ -227,14 +228,14 @@
     status.listsAge = std::clamp(Duration(reader.getListsAgeMicroseconds()), Duration::zero(), InputLimits::span);
     status.worker = decodeWorker(reader);
     for (const auto report : reader.getRuns()) {
-        status.runs.push_back({decodeRun(report.getRun()), report.getStarting(), report.getCheckpoint().cStr(),
+        status.runs.push_back({decodeRun(report.getRun()), report.getStarting(), textOf(report.getCheckpoint()),
                                std::min<std::uint32_t>(report.getPercent(), maxPercent)});
     }
     for (const auto end : reader.getEnds()) {
-        status.ends.push_back({end.getNumber(), decodeRun(end.getRun()), decodeEnding(end.getEnding()), end.getCheckpoint().cStr()});
+        status.ends.push_back({end.getNumber(), decodeRun(end.getRun()), decodeEnding(end.getEnding()), textOf(end.getCheckpoint())});
     }
     for (const auto refusal : reader.getRefusals()) {
-        status.refusals.push_back({decodeRun(refusal.getRun()), refusal.getReason().cStr()});
+        status.refusals.push_back({decodeRun(refusal.getRun()), textOf(refusal.getReason())});
     }
     return status;
 }
--- a/src/rpc/WireCodec.cpp
+++ b/src/rpc/WireCodec.cpp
@@ -1,5 +1,7 @@
 #include "rpc/WireCodec.h"
 
+#include "rpc/WireText.h"
+
 namespace banyanlock
 {
 namespace
@@ -51,11 +53,6 @@
     return std::make_shared<const std::string>(reinterpret_cast<const char *>(data.begin()), data.size());
 }
 
-std::string textOf(capnp::Text::Reader text)
-{
-    return {text.begin(), text.size()};
-}
-
 } // namespace
 
 void encode(const AttemptMessage &message, wire::Attempt::Builder builder)
@@ -65,9 +62,9 @@
     builder.setStartByMicroseconds(toMicroseconds(message.startBy));
     builder.setTimeoutMicroseconds(message.timeout.count());
     builder.setIdempotent(message.idempotent);
-    builder.setWorkspace(message.workspace);
-    builder.setService(message.service);
-    builder.setContentType(message.contentType);
+    builder.setWorkspace(readerOf(message.workspace));
+    builder.setService(readerOf(message.service));
+    builder.setContentType(readerOf(message.contentType));
     builder.setBody(bytesOf(message.body));
 }
 
@@ -92,7 +89,7 @@
     builder.setAgentIncarnation(reply.agentIncarnation);
     builder.setCode(static_cast<std::uint16_t>(reply.code));
     builder.setStatus(static_cast<std::uint16_t>(reply.status));
-    builder.setContentType(reply.contentType);
+    builder.setContentType(readerOf(reply.contentType));
     builder.setBody(bytesOf(reply.body));
     builder.setDeclaredBytes(reply.declaredBytes);
     encodeLoad(reply.load, builder.initLoad());
@@ -126,12 +123,12 @@
 
 void encode(const Announcement &announcement, wire::Announcement::Builder builder)
 {
-    builder.setAgent(announcement.agent);
+    builder.setAgent(readerOf(announcement.agent));
     builder.setIncarnation(announcement.incarnation);
-    builder.setService(announcement.service);
-    builder.setAddress(announcement.address);
-    builder.setFailureDomain(announcement.failureDomain);
-    builder.setRegion(announcement.region);
+    builder.setService(readerOf(announcement.service));
+    builder.setAddress(readerOf(announcement.address));
+    builder.setFailureDomain(readerOf(announcement.failureDomain));
+    builder.setRegion(readerOf(announcement.region));
     builder.setSlots(announcement.slots);
     builder.setQueueSlots(announcement.queueSlots);
     encodeLoad(announcement.load, builder.initLoad());
@@ -158,10 +155,10 @@
 
 void encode(const PeerHeartbeat &heartbeat, wire::PeerHeartbeat::Builder builder)
 {
-    builder.setEntry(heartbeat.entry);
+    builder.setEntry(readerOf(heartbeat.entry));
     builder.setIncarnation(heartbeat.incarnation);
-    builder.setFailureDomain(heartbeat.failureDomain);
-    builder.setRegion(heartbeat.region);
+    builder.setFailureDomain(readerOf(heartbeat.failureDomain));
+    builder.setRegion(readerOf(heartbeat.region));
     builder.setConfigurationVersion(heartbeat.configurationVersion);
     builder.setDraining(heartbeat.draining);
     builder.setStoreVersion(heartbeat.storeVersion);
--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -15,7 +15,7 @@
 
 std::string checkpointText(Duration saved)
 {
-    return saved == Duration::zero() ? std::string() : std::to_string(1'000'000'000'000 + saved.count());
+    return saved == Duration::zero() ? std::string() : std::to_string(1'000'000'000'000 + saved.count()) + std::string(checkpointSuffix);
 }
 
 Duration savedIn(const std::string &checkpoint)
@@ -157,7 +157,7 @@
     run.saved = savedIn(action.checkpoint);
     run.left = run.task.work - run.saved;
     m_running[action.run] = run;
-    m_observer.onStart(action.run, *this);
+    m_observer.onStart(action, *this);
     return {OrderOutcome::Done, ""};
 }
 
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace banyanlock
@@ -21,6 +22,9 @@
     bool checkpoints = false; ///< It saves its progress.
 };
 
+/// End of each checkpoint that a worker saves; its zero byte is lost where a checkpoint is read as a C string.
+inline constexpr std::string_view checkpointSuffix{"\0!", 2};
+
 /// A worker in memory, as its page describes it: leases on its own clock, fencing, starts and stops that may be repeated or come late, and
 /// ends that are listed until they are acknowledged.
 class PoolWorkerModel
@@ -28,7 +32,7 @@
 public:
     /// Tells of a start and of an end, for checks.
     struct Observer {
-        std::function<void(const RunName &, const PoolWorkerModel &)> onStart; ///< A run has begun.
+        std::function<void(const StartTask &, const PoolWorkerModel &)> onStart; ///< A run has begun.
         std::function<void(const RunName &, RunEnding, const PoolWorkerModel &)> onEnd; ///< A run has ended.
         std::function<void(const RunName &, RunEnding, const PoolWorkerModel &)> onAcknowledged; ///< An end was acknowledged.
         std::function<std::uint32_t(const RunName &)> presentMembers; ///< How many members of the run's gang are present anywhere.
--- a/standins/RunChecks.cpp
+++ b/standins/RunChecks.cpp
@@ -21,7 +21,8 @@
 PoolWorkerModel::Observer RunChecks::makeObserver()
 {
     PoolWorkerModel::Observer observer;
-    observer.onStart = [this](const RunName &run, const PoolWorkerModel &worker) {
+    observer.onStart = [this](const StartTask &start, const PoolWorkerModel &worker) {
+        const RunName &run = start.run;
         ++m_starts[run.task.job];
         Log::info("model_start",
                   {{"run", describe(run)},
@@ -40,6 +41,12 @@
             return;
         }
         const GraphSpec &spec = m_specs.at(run.task.job);
+        if (start.payload != spec.payload) {
+            violate("with another payload than was submitted: " + describe(run));
+        }
+        if (!start.checkpoint.empty() && !start.checkpoint.ends_with(checkpointSuffix)) {
+            violate("with a checkpoint that no worker has saved: " + describe(run));
+        }
         for (const std::uint32_t earlier : spec.steps[run.task.step].after) {
             for (std::uint32_t index = 0; index < spec.steps[earlier].tasks; ++index) {
                 if (!m_succeeded.contains({run.task.job, run.task.occurrence, earlier, index}) && !spec.steps[earlier].gang) {
--- a/standins/RunChecks.h
+++ b/standins/RunChecks.h
@@ -15,7 +15,8 @@
 {
 
 /// Checks what must always hold of the runs of all workers of a pool, as the workers see them: no task twice at once, none after its
-/// success was acknowledged, steps in order, room never exceeded, and nothing that nobody asked for.
+/// success was acknowledged, steps in order, room never exceeded, nothing that nobody asked for, and each with the payload that
+/// was submitted.
 class RunChecks
 {
 public:
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -2,6 +2,7 @@
 
 #include "core/Log.h"
 #include "graph/GraphCodec.h"
+#include "support/AwkwardText.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
@@ -37,7 +38,7 @@
 GraphSpec makeJob(const StepSpec &step)
 {
     GraphSpec spec;
-    spec.payload = "work";
+    spec.payload = withAwkwardText("work");
     spec.steps = {step};
     return spec;
 }
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -1,5 +1,7 @@
 #include "PoolWorldProcesses.h"
 
+#include "support/WireRoundTrip.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -65,14 +67,16 @@
         if (agent->removed || agent->partitioned || entry.partitionedFromAgents) {
             return;
         }
-        deliver(*agent, agent->generation, call.request, [this, &entry, agent, answer](const WorkerStatus &status) {
-            if (m_random.chance(m_options.messageLossRate) || agent->partitioned || entry.partitionedFromAgents || entry.killed) {
-                return;
-            }
-            entry.loop.after(fromMilliseconds(m_random.below(40)) + answerDelay(), [answer, status] {
-                answer(&status);
-            });
-        });
+        deliver(*agent, agent->generation, receivedAs<wire::SuperviseRequest>(call.request),
+                [this, &entry, agent, answer](const WorkerStatus &status) {
+                    if (m_random.chance(m_options.messageLossRate) || agent->partitioned || entry.partitionedFromAgents || entry.killed) {
+                        return;
+                    }
+                    entry.loop.after(fromMilliseconds(m_random.below(40)) + answerDelay(),
+                                     [answer, status = receivedAs<wire::WorkerStatus>(status)] {
+                                         answer(&status);
+                                     });
+                });
     });
 }
 
--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -4,6 +4,7 @@
 
 #include "core/Log.h"
 #include "pool/PoolRows.h"
+#include "support/AwkwardText.h"
 
 #include <fstream>
 #include <iostream>
@@ -193,7 +194,7 @@
     step.gang = m_random.chance(0.4);
     step.checkpoints = m_random.chance(0.3);
     GraphSpec spec;
-    spec.payload = "work of " + id;
+    spec.payload = withAwkwardText("work of " + id);
     spec.steps = {step};
     step.requiredLabel = m_random.chance(0.2) ? usualKind : "";
     if (m_random.chance(0.3)) {
