Place lasting tasks elsewhere when their rack has no room

Cause: mayBeRemote makes a unit wait for its rack for half of the time that running elsewhere would cost, by its estimate. A task that lasts has no end that could be late. Now it goes to its rack if there is room, and elsewhere at once if not.

lastingGangIsPlacedAcrossRacksIfNoRackHasRoom and lastingTaskIsPlacedNearItsDataOnlyIfThereIsRoom fail on the code before (nothing is placed).

--- a/src/pool/PoolPlanner.cpp
+++ b/src/pool/PoolPlanner.cpp
@@ -96,6 +96,9 @@
     if (step.homeRack.empty() && !(step.gang && step.preferOneRack)) {
         return true;
     }
+    if (step.longRunning) {
+        return true; // it has no end that a slower rack would delay
+    }
     if (!step.homeRack.empty()) {
         const bool homeExists = std::ranges::any_of(state.capacity.workersOfRack(step.homeRack), [&](std::uint32_t worker) {
             return isEligible(group, state.capacity.worker(worker));
--- a/tests/pool/PoolPlannerTest.cpp
+++ b/tests/pool/PoolPlannerTest.cpp
@@ -102,6 +102,39 @@
     BOOST_TEST(plan().starts.size() == 12U);
 }
 
+// Guards against a lasting gang that waits for a rack beside empty workers, up to half of a time that it has no end to lose (review case
+// 9).
+BOOST_AUTO_TEST_CASE(lastingGangIsPlacedAcrossRacksIfNoRackHasRoom)
+{
+    addWaitingGroup(4, 8, 1); // a rack has three workers
+    StepSpec &step = jobs.back().spec.steps.front();
+    step.gang = true;
+    step.preferOneRack = true;
+    step.longRunning = true;
+    step.estimate = fromMilliseconds(3'600'000);
+    groups.back().indexes = {0};
+    BOOST_REQUIRE_EQUAL(plan().starts.size(), 1U);
+    BOOST_TEST(plan().starts.front().workers.size() == 4U);
+}
+
+// Guards against the same for a lasting task whose data is in a rack that is full, and against one that is placed elsewhere although the
+// rack has room.
+BOOST_AUTO_TEST_CASE(lastingTaskIsPlacedNearItsDataOnlyIfThereIsRoom)
+{
+    addWaitingGroup(1, 8, 1);
+    StepSpec &step = jobs.back().spec.steps.front();
+    step.homeRack = "rack1";
+    step.longRunning = true;
+    step.estimate = fromMilliseconds(3'600'000);
+    BOOST_REQUIRE_EQUAL(plan().starts.size(), 1U);
+    BOOST_TEST(plan().starts.front().workers.front() >= 3U);
+    for (const std::uint32_t worker : {3U, 4U, 5U}) {
+        workers[worker].free = {};
+    }
+    BOOST_REQUIRE_EQUAL(plan().starts.size(), 1U);
+    BOOST_TEST(plan().starts.front().workers.front() < 3U);
+}
+
 BOOST_AUTO_TEST_CASE(urgentUnitPreemptsOnWorkerThatIsNotSuspect)
 {
     for (std::uint32_t worker = 0; worker < workers.size(); ++worker) {
--- a/tests/pool/ReferencePlanner.cpp
+++ b/tests/pool/ReferencePlanner.cpp
@@ -83,6 +83,9 @@
     if (step.homeRack.empty() && !(step.gang && step.preferOneRack)) {
         return true;
     }
+    if (step.longRunning) {
+        return true;
+    }
     if (!step.homeRack.empty()) {
         const bool homeExists = std::ranges::any_of(state.workers, [&](const PlanWorker &worker) {
             return worker.rack == step.homeRack && isEligible(group, worker);
