Quarantine at most half of the pool

Failures on more than half of it are more likely the fault of what runs there, and the rest must be served.

--- a/src/pool/PoolRecords.cpp
+++ b/src/pool/PoolRecords.cpp
@@ -114,6 +114,9 @@
     if (++recent.consecutiveFailures < quarantineThreshold) {
         return;
     }
+    if (!mayQuarantine(worker, now)) {
+        return;
+    }
     recent.quarantinedUntil = now + m_timing.quarantinePeriod;
     if (!m_records.isActing()) {
         m_counters.add(Counter::WorkersQuarantined);
@@ -123,6 +126,15 @@
     }
 }
 
+bool PoolScheduler::mayQuarantine(const PoolWorker &worker, TimePoint now) const
+{
+    // Failures on more than half of the pool are more likely the fault of what runs there, and the rest must be served.
+    const auto others = std::ranges::count_if(m_workers, [&](const auto &entry) {
+        return &entry.second != &worker && now < entry.second.record->recent.quarantinedUntil;
+    });
+    return 2 * (static_cast<std::size_t>(others) + 1) <= m_workers.size();
+}
+
 void PoolScheduler::considerAttempts(const GraphRecord &job, const UnitProgress &progress)
 {
     const std::uint32_t limit = job.terms.attemptLimit;
--- a/tests/pool/WorkerRecordsTest.cpp
+++ b/tests/pool/WorkerRecordsTest.cpp
@@ -170,6 +170,24 @@
     BOOST_TEST(pool.counters.value(Counter::PoolWorkersBarred) == 0U);
 }
 
+// Guards against tasks that fail everywhere and keep everybody's work off all workers for 5 s at a time (review case 10).
+BOOST_AUTO_TEST_CASE(atMostHalfOfThePoolIsQuarantined)
+{
+    RecordsFixture pool(PartMode::Off, 4);
+    pool.addJob("failing", 32, 50);
+    pool.pass(fromMilliseconds(500));
+    for (const char *agent : {"agent-0", "agent-1", "agent-2", "agent-3"}) {
+        pool.end(agent, RunEnding::Failed, 8);
+    }
+    pool.addJob("sound", 1, 2);
+    std::size_t used = 0;
+    pool.pass(fromMilliseconds(300));
+    for (const char *agent : {"agent-0", "agent-1", "agent-2", "agent-3"}) {
+        used += pool.placedOn(agent) > 0 ? 1 : 0;
+    }
+    BOOST_TEST(used == 2U);
+}
+
 // Guards against two tasks on one worker of a step that allows one: a last attempt and another task of the step were planned apart (a
 // played day on borgerforslag-sched-grown, rule ROUTE).
 BOOST_AUTO_TEST_CASE(lastAttemptRespectsTheSpreadLimitOfItsStep)
