Show a job as queued again while none of its starts is confirmed

Cause: the job is recorded as running together with the place of its first task, and nothing took that back. Now a job of which no start is confirmed 1 s after its first placement is recorded as queued until one is; counts may be 2 s old. Jobs that start in time cost no further transaction.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -294,13 +294,17 @@
     }
     if (end != status.ends.end()) {
         endMember(unit, member, end->ending);
+        noteBegun(*unit.record);
         if (!end->checkpoint.empty()) {
             member.checkpoint = end->checkpoint;
         }
         return;
     }
     if (report != status.runs.end()) {
-        member.confirmed = member.confirmed || !report->starting;
+        if (!member.confirmed && !report->starting) {
+            member.confirmed = true;
+            noteBegun(*unit.record);
+        }
         if (!report->checkpoint.empty()) {
             member.checkpoint = report->checkpoint;
         }
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -539,6 +539,31 @@
     }
 }
 
+// Guards against jobs that are not counted as pending although none of their tasks has started: their workers became unreachable just
+// before they were placed (review case 5).
+BOOST_AUTO_TEST_CASE(placedJobThatHasNotBegunIsPending)
+{
+    PoolWorld world({});
+    world.run(startupTime);
+    for (std::size_t worker = 0; worker < world.workerCount(); ++worker) {
+        world.partitionAgentFromEntries(worker, true);
+    }
+    world.submit("job1", makeJob(makeStep(2, 1, 2000)), "normal");
+    world.run(fromMilliseconds(3000));
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        BOOST_TEST(world.pendingOf("normal", entry) == 1U);
+    }
+    for (std::size_t worker = 0; worker < world.workerCount(); ++worker) {
+        world.partitionAgentFromEntries(worker, false);
+    }
+    world.run(fromMilliseconds(4000));
+    for (std::size_t entry = 0; entry < 3; ++entry) {
+        BOOST_TEST(world.pendingOf("normal", entry) == 0U);
+    }
+    world.run(fromMilliseconds(10000));
+    checkCompleted(world, "job1");
+}
+
 BOOST_AUTO_TEST_CASE(formerlyFailingSeedsCauseNoViolation)
 {
     // 306, 669: capacity reserved for a gang was released too early. 96: late orders stayed pending forever. 1267, 1269, 1441: ends of a
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -171,6 +171,11 @@
     return foreign;
 }
 
+std::uint32_t PoolWorld::pendingOf(const std::string &queue, std::size_t entry) const
+{
+    return m_entries.at(entry)->mirror.jobs().countPending(queue);
+}
+
 bool PoolWorld::isWorkerUsed(std::size_t worker) const
 {
     const Agent &agent = *m_agents.at(worker);
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -190,6 +190,11 @@
     /// @return Whether its agent reports the incarnation that is there, with its own service and capacity, as answering and not draining.
     bool isWorkerUsed(std::size_t worker) const;
 
+    /// @param queue Name of a queue.
+    /// @param entry Index of an entry.
+    /// @return Number of accepted jobs of the queue of which no task has started, as the entry would answer.
+    std::uint32_t pendingOf(const std::string &queue, std::size_t entry) const;
+
     /// @return State of a job as recorded in the table service.
     GraphState stateOf(const std::string &job) const;
 
