--- a/src/pool/AnnouncementTable.cpp
+++ b/src/pool/AnnouncementTable.cpp
@@ -52,7 +52,7 @@
     }
 }
 
-bool AnnouncementTable::setServices(const std::vector<std::string> &services)
+bool AnnouncementTable::setNamedServices(const std::vector<std::string> &services)
 {
     if (services.empty() || services == m_services) {
         return false;
@@ -81,7 +81,7 @@
     return best == nullptr ? nullptr : &best->announcement;
 }
 
-std::optional<WorkerIncarnation> AnnouncementTable::nextUnproven(const WorkerIncarnation &current) const
+std::optional<WorkerIncarnation> AnnouncementTable::nextUnconfirmed(const WorkerIncarnation &current) const
 {
     const Entry *next = nullptr;
     for (const Entry &entry : m_entries) {
--- a/src/pool/AnnouncementTable.h
+++ b/src/pool/AnnouncementTable.h
@@ -38,7 +38,7 @@
     /// Sets the services that the configuration names.
     /// @param services Their names; empty if they are unknown.
     /// @return Whether they have changed.
-    bool setServices(const std::vector<std::string> &services);
+    bool setNamedServices(const std::vector<std::string> &services);
 
     /// Chooses between the services that are announced for one incarnation: a service that the configuration names goes before another
     /// one, then one that is still announced, then the one in use.
@@ -49,7 +49,7 @@
 
     /// @param current Incarnation in use.
     /// @return The incarnation to ask the worker about next; none if no other one is announced.
-    std::optional<WorkerIncarnation> nextUnproven(const WorkerIncarnation &current) const;
+    std::optional<WorkerIncarnation> nextUnconfirmed(const WorkerIncarnation &current) const;
 
     /// @param current Incarnation in use.
     /// @return Whether another incarnation with the same worker id is announced.
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -294,7 +294,7 @@
     }
     if (end != status.ends.end()) {
         endMember(unit, member, end->ending);
-        noteBegun(*unit.record);
+        noteStarted(*unit.record);
         if (!end->checkpoint.empty()) {
             member.checkpoint = end->checkpoint;
         }
@@ -303,7 +303,7 @@
     if (report != status.runs.end()) {
         if (!member.confirmed && !report->starting) {
             member.confirmed = true;
-            noteBegun(*unit.record);
+            noteStarted(*unit.record);
         }
         if (!report->checkpoint.empty()) {
             member.checkpoint = report->checkpoint;
--- a/src/pool/PoolPlanning.cpp
+++ b/src/pool/PoolPlanning.cpp
@@ -370,7 +370,7 @@
         oldestStatus = std::max(oldestStatus, now - worker.statusReceivedAt);
         unit.members.push_back(std::move(active));
     }
-    if (job->progress.state == GraphState::Queued && m_unbegun.try_emplace(job->id, now).second) {
+    if (job->progress.state == GraphState::Queued && m_jobsWithoutStart.try_emplace(job->id, now).second) {
         job->progress.state = GraphState::Running; // saves a transaction once the start is confirmed
     }
     Log::info("unit_placed",
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -121,7 +121,7 @@
     for (auto &[agent, worker] : m_workers) {
         worker.members.clear();
     }
-    m_unbegun.clear();
+    m_jobsWithoutStart.clear();
     m_dirty.clear();
     m_urgentDirty = false;
     m_recording.clear();
@@ -193,7 +193,7 @@
     resumeSetAside(now);
     resolveTruncatedLists();
     closeEndedUnits(now);
-    showUnbegunAsQueued(now);
+    showUnstartedAsQueued(now);
     if (m_placing && (m_planDue || now - m_plannedAt >= m_timing.maxPlanInterval)) {
         refreshRecords(now);
         m_planDue = !schedule(now);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -305,8 +305,8 @@
     bool hasUnits(const std::string &job) const;
     void closeIfIdle(const GraphRecord &job);
     void finishJob(GraphRecord &job, GraphState state);
-    void noteBegun(GraphRecord &job);
-    void showUnbegunAsQueued(TimePoint now);
+    void noteStarted(GraphRecord &job);
+    void showUnstartedAsQueued(TimePoint now);
     void dropFinishedOccurrences(GraphRecord &job) const;
     void stopObsoleteUnits(TimePoint now);
     void orderStarts(ActiveUnit &unit, TimePoint now);
@@ -398,7 +398,7 @@
     std::vector<PlanWorker> m_planWorkers; // by index of the worker
     std::unordered_map<const GraphRecord *, WaitingUnits> m_waiting; // by open job
     std::map<std::string, TimePoint>
-        m_unbegun; // jobs with placed units of which no start is confirmed, with the time of the first placement
+        m_jobsWithoutStart; // jobs with placed units of which no start is confirmed, with the time of the first placement
     std::map<std::string, std::uint64_t> m_dirty; // jobs whose progress has yet to be written, with the order in which they changed
     std::uint64_t m_dirtyOrder = 0;
     bool m_urgentDirty = false; // an urgent job has changed since the last batch
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -398,23 +398,23 @@
     }
 }
 
-void PoolScheduler::noteBegun(GraphRecord &job)
+void PoolScheduler::noteStarted(GraphRecord &job)
 {
-    m_unbegun.erase(job.id);
+    m_jobsWithoutStart.erase(job.id);
     if (job.progress.state == GraphState::Queued) {
         job.progress.state = GraphState::Running;
         markDirty(job);
     }
 }
 
-void PoolScheduler::showUnbegunAsQueued(TimePoint now)
+void PoolScheduler::showUnstartedAsQueued(TimePoint now)
 {
-    for (const auto &[id, placedAt] : m_unbegun) {
+    for (const auto &[id, placedAt] : m_jobsWithoutStart) {
         GraphRecord *job = m_jobs.find(id);
         if (job != nullptr && job->progress.state == GraphState::Running && now - placedAt > m_timing.startConfirmation) {
             job->progress.state = GraphState::Queued;
             markDirty(*job);
-            Log::info("job_not_begun", {{"job", id}, {"placed_ms_ago", toMilliseconds(now - placedAt)}});
+            Log::info("job_not_started", {{"job", id}, {"placed_ms_ago", toMilliseconds(now - placedAt)}});
         }
     }
 }
@@ -424,7 +424,7 @@
     job.progress.state = state;
     markDirty(job);
     m_waiting.erase(&job);
-    m_unbegun.erase(job.id);
+    m_jobsWithoutStart.erase(job.id);
     closeIfIdle(job);
     if (state == GraphState::Completed) {
         m_counters.add(Counter::PoolJobsCompleted);
--- a/src/pool/SupervisorIdentity.cpp
+++ b/src/pool/SupervisorIdentity.cpp
@@ -63,7 +63,7 @@
 
 bool WorkerSupervisor::needsIdentityQuery() const
 {
-    return m_worker && m_epoch != 0 && m_fence != 0 && m_announcements.nextUnproven(m_worker->incarnation);
+    return m_worker && m_epoch != 0 && m_fence != 0 && m_announcements.nextUnconfirmed(m_worker->incarnation);
 }
 
 void WorkerSupervisor::sendIdentityQuery(TimePoint now)
@@ -75,7 +75,7 @@
     RenewWorker query; // without a lease and without acknowledgements, so it changes nothing if it reaches the wrong incarnation
     query.epoch = m_epoch;
     query.fence = m_fence;
-    query.incarnation = *m_announcements.nextUnproven(m_worker->incarnation);
+    query.incarnation = *m_announcements.nextUnconfirmed(m_worker->incarnation);
     query.sentAt = now;
     m_queriedIncarnation = query.incarnation;
     m_querySentAt = now;
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -105,7 +105,7 @@
         m_nextRenewal = now;
         markChanged();
     }
-    if (m_announcements.setServices(request.services)) {
+    if (m_announcements.setNamedServices(request.services)) {
         useBestAnnouncement();
     }
     if (!m_registered && m_worker && request.acknowledgedIncarnation == m_worker->incarnation && request.workerFence > m_fence) {
--- a/tests/pool/AnnouncementTableTest.cpp
+++ b/tests/pool/AnnouncementTableTest.cpp
@@ -44,11 +44,11 @@
     table.add(makeAnnouncement(current, "quote", 1), nullptr);
     table.add(makeAnnouncement(current, "other", 1), nullptr);
     BOOST_TEST(chosenService(table, "quote") == "quote");
-    BOOST_TEST(table.setServices({"other"}));
+    BOOST_TEST(table.setNamedServices({"other"}));
     BOOST_TEST(chosenService(table, "quote") == "other");
-    BOOST_TEST(table.setServices({"audit", "quote"}));
+    BOOST_TEST(table.setNamedServices({"audit", "quote"}));
     BOOST_TEST(chosenService(table, "other") == "quote");
-    BOOST_TEST(!table.setServices({})); // an owner without a configuration
+    BOOST_TEST(!table.setNamedServices({})); // an owner without a configuration
     BOOST_TEST(chosenService(table, "other") == "quote");
 }
 
@@ -83,10 +83,10 @@
     table.add(makeAnnouncement(current, "quote", 1), nullptr);
     table.add(makeAnnouncement(foreign, "quote", 1), nullptr);
     for (std::uint32_t query = 0; query < AnnouncementTable::maxUnansweredQueries; ++query) {
-        BOOST_TEST((table.nextUnproven(current) == foreign));
+        BOOST_TEST((table.nextUnconfirmed(current) == foreign));
         table.noteUnanswered(foreign);
     }
-    BOOST_TEST(!table.nextUnproven(current).has_value());
+    BOOST_TEST(!table.nextUnconfirmed(current).has_value());
 }
 
 // Guards against foreign incarnations that nobody answers for and that keep a new incarnation of the worker from being asked.
@@ -99,7 +99,7 @@
     table.noteUnanswered({"foreign", 2});
     const WorkerIncarnation next{"worker", 2000};
     table.add(makeAnnouncement(next, "quote", 1), nullptr);
-    BOOST_TEST((table.nextUnproven(current) == next));
+    BOOST_TEST((table.nextUnconfirmed(current) == next));
 }
 
 BOOST_AUTO_TEST_SUITE_END()
