Look an unconfirmed incarnation up once, and share the rule that raises the token

sendIdentityQuery asked the table twice for the same incarnation, and onIdentityAnswer repeated the condition of onListsLost under which an unanswered call raises the fencing token.

--- a/src/pool/SupervisorIdentity.cpp
+++ b/src/pool/SupervisorIdentity.cpp
@@ -61,21 +61,26 @@
     }
 }
 
-bool WorkerSupervisor::needsIdentityQuery() const
+std::optional<WorkerIncarnation> WorkerSupervisor::incarnationToQuery() const
 {
-    return m_worker && m_epoch != 0 && m_fence != 0 && m_announcements.nextUnconfirmed(m_worker->incarnation);
+    const bool mayCall = m_worker && m_epoch != 0 && m_fence != 0;
+    return mayCall ? m_announcements.nextUnconfirmed(m_worker->incarnation) : std::nullopt;
 }
 
 void WorkerSupervisor::sendIdentityQuery(TimePoint now)
 {
     const bool isInFlight = m_queriedIncarnation && now - m_querySentAt < m_timing.answerMargin;
-    if (isInFlight || now < m_nextQuery || !needsIdentityQuery()) {
+    if (isInFlight || now < m_nextQuery) {
+        return;
+    }
+    const std::optional<WorkerIncarnation> incarnation = incarnationToQuery();
+    if (!incarnation) {
         return;
     }
     RenewWorker query; // without a lease and without acknowledgements, so it changes nothing if it reaches the wrong incarnation
     query.epoch = m_epoch;
     query.fence = m_fence;
-    query.incarnation = *m_announcements.nextUnconfirmed(m_worker->incarnation);
+    query.incarnation = *incarnation;
     query.sentAt = now;
     m_queriedIncarnation = query.incarnation;
     m_querySentAt = now;
@@ -104,10 +109,7 @@
     }
     m_announcements.noteUnanswered(action.incarnation);
     m_nextQuery = now + m_timing.retryInterval;
-    const bool mayHaveArrived = !answer.failedBy(RenewalFailure::ConnectionRefused) && !answer.failedBy(RenewalFailure::Busy);
-    if (action.fence == m_fence && mayHaveArrived) {
-        raiseFence(); // the worker may have refused a token that is too low
-    }
+    raiseFenceUnlessUntouched(action, answer); // the worker may have refused a token that is too low
 }
 
 void WorkerSupervisor::changeIncarnation(const WorkerIncarnation &incarnation)
--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -54,9 +54,7 @@
     const bool refused = answer.failedBy(RenewalFailure::ConnectionRefused);
     const bool disconnected = answer.failedBy(RenewalFailure::Disconnected);
     const bool wasUncertain = std::exchange(m_incarnationUncertain, m_incarnationUncertain || refused || disconnected || otherIncarnation);
-    if (action.fence == m_fence && !refused && !answer.failedBy(RenewalFailure::Busy)) {
-        raiseFence(); // a worker that has restarted may still execute what was sent to its earlier incarnation
-    }
+    raiseFenceUnlessUntouched(action, answer); // a worker that has restarted may still execute what was sent to its earlier incarnation
     m_pollImmediately
         = m_pollImmediately || (m_runsKnown && action.wait == Duration::zero()); // the state that this request was to show is still unknown
     m_nextRenewal = disconnected && !wasUncertain ? now : now + m_timing.retryInterval;
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -88,6 +88,14 @@
     markChanged();
 }
 
+void WorkerSupervisor::raiseFenceUnlessUntouched(const RenewWorker &action, const RenewalAnswer &answer)
+{
+    const bool untouched = answer.failedBy(RenewalFailure::ConnectionRefused) || answer.failedBy(RenewalFailure::Busy);
+    if (action.fence == m_fence && !untouched) {
+        raiseFence();
+    }
+}
+
 bool WorkerSupervisor::onSupervise(const SuperviseRequest &request, TimePoint now)
 {
     if (request.epoch < m_epoch) {
@@ -365,7 +373,7 @@
             next = std::min(next, std::max(m_renewalSentAt + m_timing.retryInterval, now + fromMilliseconds(1)));
         }
     }
-    if (needsIdentityQuery()) {
+    if (incarnationToQuery()) {
         const TimePoint due = m_queriedIncarnation ? m_querySentAt + m_timing.answerMargin : m_nextQuery;
         next = std::min(next, std::max(due, now + fromMilliseconds(1)));
     }
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -217,12 +217,13 @@
     }
 
     bool useBestAnnouncement();
-    bool needsIdentityQuery() const;
+    std::optional<WorkerIncarnation> incarnationToQuery() const;
     void sendIdentityQuery(TimePoint now);
     void onIdentityAnswer(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now);
     void changeIncarnation(const WorkerIncarnation &incarnation);
     void resetIncarnationState();
     void raiseFence();
+    void raiseFenceUnlessUntouched(const RenewWorker &action, const RenewalAnswer &answer);
     bool isFenced() const
     {
         return m_registered && m_provenFence >= m_firstFence;
