Decide in recordSuccess that a lasting task never counts as done

It stands in recordSuccess now, with the lookup of the unit that two callers repeated; what the other callers check for more than the success stays there.

--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -196,7 +196,7 @@
         if (unit != m_units.end()) {
             stop(unit->second, StopReason::AlreadyDone);
         }
-        recordSuccess(*job, progress->second);
+        recordSuccess(*job, id->second);
     }
 }
 
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -301,7 +301,7 @@
     RunTimeForecast forecastOf(const GraphRecord &job, std::uint32_t step) const;
     void learnRunTime(const ActiveUnit &unit, TimePoint now);
     void recordEndings(const ActiveUnit &unit, RunEnding ending, TimePoint now);
-    void recordSuccess(GraphRecord &job, UnitProgress &progress);
+    void recordSuccess(GraphRecord &job, const UnitKey &key);
     bool hasUnits(const std::string &job) const;
     void closeIfIdle(const GraphRecord &job);
     void finishJob(GraphRecord &job, GraphState state);
--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -64,9 +64,14 @@
     return std::move(unit.mapped());
 }
 
-void PoolScheduler::recordSuccess(GraphRecord &job, UnitProgress &progress)
+void PoolScheduler::recordSuccess(GraphRecord &job, const UnitKey &key)
 {
-    progress.succeeded = true;
+    const auto progress = job.progress.units.find(key);
+    const bool isOpen = progress != job.progress.units.end() && !progress->second.succeeded;
+    if (!isOpen || job.spec.steps[key.step].longRunning) {
+        return; // tasks that last are started again however they end
+    }
+    progress->second.succeeded = true;
     markDirty(job);
     dropFinishedOccurrences(job);
     if (job.progress.finishedOccurrences >= occurrencesOf(job.spec)) {
@@ -207,11 +212,7 @@
             // ends are reported.
             setStopping(unit, StopReason::AlreadyDone);
             unit.nextStop = now + m_timing.stopRetryInterval;
-            const auto progress = unit.record->progress.units.find(unit.key);
-            const bool isOpen = progress != unit.record->progress.units.end() && !progress->second.succeeded;
-            if (isOpen && !unit.spec().longRunning) { // tasks that last are started again however they end
-                recordSuccess(*unit.record, progress->second);
-            }
+            recordSuccess(*unit.record, unit.key);
         }
     }
     for (const UnitId &id : ended) {
@@ -355,8 +356,8 @@
     if (step.longRunning) {
         return;
     }
-    if (outcome == RunEnding::Succeeded && !progress.succeeded) {
-        recordSuccess(*job, progress);
+    if (outcome == RunEnding::Succeeded) {
+        recordSuccess(*job, unit.key);
     } else if (outcome == RunEnding::Failed && !progress.succeeded) {
         ++progress.failures;
         if (m_parts.workerRecords != PartMode::Off && progress.failures + 1 >= job->terms.attemptLimit) {
