Limit quarantine where the records are kept

The limit of half of the pool was added in PoolScheduler, and PoolPlay, whose rules are to be PoolScheduler's, went on without it. Counting failures in a row and the limit are one method of WorkerRecords now, which both call. The play now has the product's limit; its tests pass with their bounds as they were.

--- a/src/pool/PoolRecords.cpp
+++ b/src/pool/PoolRecords.cpp
@@ -109,32 +109,15 @@
         m_counters.add(Counter::PoolFailuresTakenBack);
         Log::info("failure_taken_back", {{"run", describe(member.run)}, {"worker", member.place.incarnation.worker}});
     }
-    RecentTrouble &recent = worker.record->recent;
-    constexpr std::uint32_t quarantineThreshold = 2; // a single failure may be the task's fault
-    if (++recent.consecutiveFailures < quarantineThreshold) {
-        return;
-    }
-    if (!mayQuarantine(worker, now)) {
-        return;
-    }
-    recent.quarantinedUntil = now + m_timing.quarantinePeriod;
-    if (!m_records.isActing()) {
+    const bool quarantined = m_records.addFailureInRow(*worker.record, m_timing.quarantinePeriod, now);
+    if (quarantined && !m_records.isActing()) {
         m_counters.add(Counter::WorkersQuarantined);
-        Log::warning(
-            "worker_quarantined",
-            {{"worker", member.place.incarnation.worker}, {"failures_in_row", static_cast<std::int64_t>(recent.consecutiveFailures)}});
+        Log::warning("worker_quarantined",
+                     {{"worker", member.place.incarnation.worker},
+                      {"failures_in_row", static_cast<std::int64_t>(worker.record->recent.consecutiveFailures)}});
     }
 }
 
-bool PoolScheduler::mayQuarantine(const PoolWorker &worker, TimePoint now) const
-{
-    // Failures on more than half of the pool are more likely the fault of what runs there, and the rest must be served.
-    const auto others = std::ranges::count_if(m_workers, [&](const auto &entry) {
-        return &entry.second != &worker && now < entry.second.record->recent.quarantinedUntil;
-    });
-    return 2 * (static_cast<std::size_t>(others) + 1) <= m_workers.size();
-}
-
 void PoolScheduler::considerAttempts(const GraphRecord &job, const UnitProgress &progress)
 {
     const std::uint32_t limit = job.terms.attemptLimit;
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -317,7 +317,6 @@
     void recordLife(PoolWorker &worker, const WorkerIncarnation &incarnation, TimePoint now);
     void recordEnding(const ActiveUnit &unit, const ActiveMember &member, TimePoint now);
     void recordFailure(const ActiveUnit &unit, const ActiveMember &member, TimePoint now);
-    bool mayQuarantine(const PoolWorker &worker, TimePoint now) const;
     void suspect(PoolWorker &worker, const char *reason, TimePoint now);
     void considerAttempts(const GraphRecord &job, const UnitProgress &progress);
     void refreshRecords(TimePoint now);
--- a/src/workerrecords/WorkerRecords.cpp
+++ b/src/workerrecords/WorkerRecords.cpp
@@ -87,6 +87,23 @@
     return FailureCause::Worker;
 }
 
+bool WorkerRecords::addFailureInRow(PooledRecord &record, Duration period, TimePoint now)
+{
+    constexpr std::uint32_t quarantineThreshold = 2; // a single failure may be the task's fault
+    if (++record.recent.consecutiveFailures < quarantineThreshold) {
+        return false;
+    }
+    // Failures on more than half of the pool are more likely the fault of what runs there, and the rest must be served.
+    const auto others = std::ranges::count_if(m_records, [&](const auto &entry) {
+        return &entry.second != &record && now < entry.second.recent.quarantinedUntil;
+    });
+    if (2 * (static_cast<std::size_t>(others) + 1) > m_records.size()) {
+        return false;
+    }
+    record.recent.quarantinedUntil = now + period;
+    return true;
+}
+
 void WorkerRecords::rememberFailure(std::uint64_t task, const std::string &agent, TimePoint now)
 {
     std::erase_if(m_taskFailures, [&](const auto &entry) {
--- a/src/workerrecords/WorkerRecords.h
+++ b/src/workerrecords/WorkerRecords.h
@@ -86,6 +86,13 @@
     /// @return What the failure is attributed to.
     FailureCause addFailure(PooledRecord &record, const RecordedRun &run, TimePoint now);
 
+    /// Counts a failure in a row. From the second one on the worker is quarantined, unless half of the pool already is.
+    /// @param record Record of the worker.
+    /// @param period Length of the quarantine.
+    /// @param now Current time.
+    /// @return Whether the worker is quarantined from now on.
+    bool addFailureInRow(PooledRecord &record, Duration period, TimePoint now);
+
     /// Relates the workers to each other and notes changes of standing. If more than half of them are barred, the least bad of these become
     /// Doubtful until half remain barred.
     /// @param pool Records of the workers that could be used but for their standing.
--- a/tests/workerrecords/PoolPlay.h
+++ b/tests/workerrecords/PoolPlay.h
@@ -222,9 +222,7 @@
         } else if (run.failing == member) {
             m_records.addFailure(record, recorded, m_now);
             record.recent.suspectedUntil = m_now + fromMilliseconds(6000); // as PoolScheduler does while the records do not act
-            if (++record.recent.consecutiveFailures >= 2) {
-                record.recent.quarantinedUntil = m_now + fromMilliseconds(5000);
-            }
+            m_records.addFailureInRow(record, fromMilliseconds(5000), m_now);
         }
     }
 
