Make foreign announcements in one place

The virtual world and the soak each made their own. Both use the virtual world's form now, so the soak also sends several foreign ids, and a small capacity in place of none.

--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -1,5 +1,6 @@
 #include "PoolWorldProcesses.h"
 
+#include "ForeignAnnouncement.h"
 #include "core/Log.h"
 #include "graph/GraphCodec.h"
 #include "support/AwkwardText.h"
@@ -144,33 +145,10 @@
         arrive(own);
     }
     if (m_options.foreignAnnouncementRate > 0.0 && m_foreignRandom.chance(m_options.foreignAnnouncementRate)) {
-        arrive(makeForeignAnnouncement(own));
+        arrive(makeForeignAnnouncement(own, m_foreignRandom));
     }
 }
 
-WorkerAnnouncement PoolWorld::makeForeignAnnouncement(const WorkerAnnouncement &own)
-{
-    constexpr std::int64_t minute = 60'000;
-    WorkerAnnouncement foreign = own;
-    foreign.sequence = m_foreignRandom.chance(0.5) ? 0xffffffff : 1;
-    foreign.draining = m_foreignRandom.chance(0.5);
-    foreign.capacity = {1000, 1000, 1};
-    switch (m_foreignRandom.below(4)) {
-    case 0:
-        foreign.incarnation.worker = "foreign-" + std::to_string(m_foreignRandom.below(3));
-        break;
-    case 1:
-        foreign.incarnation.startedUnixMilliseconds += minute;
-        break;
-    case 2:
-        foreign.incarnation.startedUnixMilliseconds -= minute;
-        break;
-    default:
-        foreign.service = "foreign"; // for the very incarnation that is there
-    }
-    return foreign;
-}
-
 std::uint32_t PoolWorld::pendingOf(const std::string &queue, std::size_t entry) const
 {
     return m_entries.at(entry)->mirror.jobs().countPending(queue);
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -1,5 +1,6 @@
 #include "WorkerServer.h"
 
+#include "ForeignAnnouncement.h"
 #include "JsonAnswer.h"
 #include "core/Log.h"
 
@@ -230,30 +231,10 @@
     const WorkerAnnouncement own = m_model.announce();
     sendAnnouncement(own);
     if (m_foreignRandom.chance(m_foreignAnnouncements)) {
-        sendAnnouncement(makeForeignAnnouncement(own));
+        sendAnnouncement(makeForeignAnnouncement(own, m_foreignRandom));
     }
 }
 
-WorkerAnnouncement WorkerServer::makeForeignAnnouncement(const WorkerAnnouncement &own)
-{
-    constexpr std::int64_t minute = 60'000;
-    WorkerAnnouncement foreign = own;
-    foreign.sequence = m_foreignRandom.chance(0.5) ? 0xffffffff : 1;
-    foreign.draining = m_foreignRandom.chance(0.5);
-    foreign.capacity = {};
-    switch (m_foreignRandom.below(3)) {
-    case 0:
-        foreign.incarnation.worker = "foreign";
-        break;
-    case 1:
-        foreign.incarnation.startedUnixMilliseconds += m_foreignRandom.chance(0.5) ? minute : -minute;
-        break;
-    default:
-        foreign.service = "foreign"; // for the very incarnation that is there
-    }
-    return foreign;
-}
-
 void WorkerServer::sendAnnouncement(const WorkerAnnouncement &worker)
 {
     HttpRequest request;
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -83,7 +83,6 @@
     ServerResponse listsAnswer(const WorkerLists &lists) const;
     void announce();
     void sendAnnouncement(const WorkerAnnouncement &worker);
-    WorkerAnnouncement makeForeignAnnouncement(const WorkerAnnouncement &own);
 
     EventLoop &m_loop;
     LoopHttp m_http;
