Share the messages that several tests make by hand

The PUT of an announcement stood in four places, the call that orders one start in three, a lost or failed answer of the virtual world in five, and the step of ForeignAnnouncementTest in two. No assertion changes but one that becomes stricter: a row of the largest spec is checked against TableLimits (49152 bytes of text, 64 KB in Base64) instead of 65536 bytes of text.

--- a/tests/decoders/DecoderFuzzTest.cpp
+++ b/tests/decoders/DecoderFuzzTest.cpp
@@ -10,6 +10,7 @@
 #include "schedule/JobCodec.h"
 #include "schedule/WorkerCodec.h"
 #include "store/TableCodec.h"
+#include "support/AnnouncementRequest.h"
 #include "support/ScriptedServer.h"
 #include "support/Seeds.h"
 
@@ -147,15 +148,6 @@
     return progress;
 }
 
-ServerRequest heartbeat(const std::string &body)
-{
-    ServerRequest request;
-    request.method = "PUT";
-    request.path = "/api/instances/i-1";
-    request.body = body;
-    return request;
-}
-
 /// Decodes a text with every decoder; what is accepted must be encodable and decodable again.
 void decodeEverything(const std::string &text)
 {
@@ -178,7 +170,7 @@
         BOOST_TEST((decodeOwnerCandidate(encodeOwnerCandidate(*candidate)) == candidate));
     }
     (void)PlatformAdapter::decodeOperatorRow({"op", "config", version, text, false});
-    const Result<WorkerAnnouncement> worker = PlatformAdapter::decodeAnnouncement(heartbeat(text));
+    const Result<WorkerAnnouncement> worker = PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", text));
     if (isOk(worker)) {
         BOOST_TEST(valueOf(worker).capacity.fits({}));
         BOOST_TEST((valueOf(worker).minTimeUntilExit >= Duration::zero()));
@@ -326,7 +318,8 @@
             }
             pool.scheduler.setRenewalsAllowed(true);
             for (int round = 0; round < 6; ++round) {
-                const Result<WorkerAnnouncement> worker = PlatformAdapter::decodeAnnouncement(heartbeat(perhaps(announcement)));
+                const Result<WorkerAnnouncement> worker
+                    = PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", perhaps(announcement)));
                 if (isOk(worker)) {
                     pool.report(epoch, valueOf(worker), now);
                 }
--- a/tests/decoders/SubmittedTextTest.cpp
+++ b/tests/decoders/SubmittedTextTest.cpp
@@ -1,7 +1,9 @@
 #include "core/JsonInput.h"
+#include "core/TableTypes.h"
 #include "graph/GraphCodec.h"
 #include "platform/Base64.h"
 #include "platform/PlatformAdapter.h"
+#include "support/AnnouncementRequest.h"
 #include "support/RandomText.h"
 #include "support/WireRoundTrip.h"
 
@@ -46,7 +48,7 @@
         accepted.spec = valueOf(submitted);
         accepted.terms = {"r", "t", "s", 0, 3, 1.5, fromMilliseconds(500)};
         const std::string row = encodeGraphSpec(accepted);
-        RC_ASSERT(row.size() <= 65536U); // the row limit of the table service
+        RC_ASSERT(row.size() <= TableLimits().rowBytes);
         const std::optional<std::string> stored = platform::decodeBase64(platform::encodeBase64(row));
         RC_ASSERT(stored.has_value());
         GraphRecord recorded;
@@ -76,11 +78,7 @@
         const std::string label = *anyJsonText(100);
         const Json body{{"service", "s"},    {"zone", "z"}, {"state", "ready"}, {"capacity", {{"cpu", 1}}},
                         {"labels", {label}}, {"born", 1},   {"seq", 1}};
-        ServerRequest request;
-        request.method = "PUT";
-        request.path = "/api/instances/i-1";
-        request.body = body.dump();
-        const Result<WorkerAnnouncement> announcement = PlatformAdapter::decodeAnnouncement(request);
+        const Result<WorkerAnnouncement> announcement = PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", body.dump()));
         RC_ASSERT(isOk(announcement));
         WorkerStatus status;
         status.worker = valueOf(announcement);
@@ -94,11 +92,7 @@
     for (const char *field : {"service", "zone"}) {
         Json body{{"service", "s"}, {"zone", "z"}, {"state", "ready"}, {"capacity", {{"cpu", 1}}}, {"born", 1}, {"seq", 1}};
         body[field] = std::string("a\0b", 3);
-        ServerRequest request;
-        request.method = "PUT";
-        request.path = "/api/instances/i-1";
-        request.body = body.dump();
-        const Result<WorkerAnnouncement> announcement = PlatformAdapter::decodeAnnouncement(request);
+        const Result<WorkerAnnouncement> announcement = PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", body.dump()));
         BOOST_REQUIRE(!isOk(announcement));
         BOOST_TEST(errorOf(announcement).detail.find(field) != std::string::npos);
     }
--- a/tests/platform/ForeignInputTest.cpp
+++ b/tests/platform/ForeignInputTest.cpp
@@ -1,6 +1,7 @@
 #include "graph/GraphCodec.h"
 #include "platform/PlatformAdapter.h"
 #include "platform/WorkerPort.h"
+#include "support/AnnouncementRequest.h"
 #include "support/ScriptedServer.h"
 
 #include <boost/test/unit_test.hpp>
@@ -26,15 +27,6 @@
     return text.replace(position, from.size(), to);
 }
 
-ServerRequest announcement(const std::string &id, const std::string &body)
-{
-    ServerRequest request;
-    request.method = "PUT";
-    request.path = "/api/instances/" + id;
-    request.body = body;
-    return request;
-}
-
 const std::string goodAnnouncement = R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1","slots":8,"state":"draining",)"
                                      R"("remainingMs":7000,"capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],"seq":4,)"
                                      R"("born":1700000000000})";
@@ -125,12 +117,12 @@
 
 BOOST_AUTO_TEST_CASE(announcementsWithImpossibleNumbersAreRejected)
 {
-    BOOST_REQUIRE(isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", goodAnnouncement))));
+    BOOST_REQUIRE(isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", goodAnnouncement))));
     for (const std::string field :
          {"\"cpu\":16000", "\"memMb\":32768", "\"gpu\":8", "\"remainingMs\":7000", "\"seq\":4", "\"born\":1700000000000"}) {
         for (const std::string &odd : oddNumbers) {
             const std::string text = replaced(goodAnnouncement, field, field.substr(0, field.find(':') + 1) + odd);
-            BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", text))), text);
+            BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", text))), text);
         }
     }
 }
@@ -140,15 +132,16 @@
     const std::int64_t day = 24LL * 3600 * 1000;
     const std::string ahead = std::to_string(unixMillisecondsNow() + day);
     const std::string slightlyAhead = std::to_string(unixMillisecondsNow() + 30'000); // clocks of instances differ and jump by seconds
-    BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", replaced(goodAnnouncement, "1700000000000", ahead)))));
-    BOOST_TEST(isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", replaced(goodAnnouncement, "1700000000000", slightlyAhead)))));
+    BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", replaced(goodAnnouncement, "1700000000000", ahead)))));
+    BOOST_TEST(
+        isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", replaced(goodAnnouncement, "1700000000000", slightlyAhead)))));
     for (const std::string sequence : {"9007199254740993", "18446744073709551614", "1000000000000"}) {
         const std::string text = replaced(goodAnnouncement, "\"seq\":4", "\"seq\":" + sequence);
-        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", text))), text);
+        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", text))), text);
     }
     for (const std::string field : {"\"seq\":4.5", "\"born\":1700000000000.5"}) {
         const std::string text = replaced(goodAnnouncement, field.substr(0, field.find('.')), field);
-        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", text))), text);
+        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", text))), text);
     }
 }
 
@@ -156,14 +149,14 @@
 {
     // Their names become parts of row keys and of rows.
     for (const std::string &id : {std::string("\xff"), std::string(201, 'i'), std::string("i\0", 2)}) {
-        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement(id, goodAnnouncement))), id);
+        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest(id, goodAnnouncement))), id);
     }
     for (const std::string &zone : {std::string(), std::string(180, 'z'), std::string("z\\u0000")}) {
         const std::string text = replaced(goodAnnouncement, R"("zone":"z")", R"("zone":")" + zone + "\"");
-        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", text))), text);
+        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", text))), text);
     }
-    BOOST_TEST(
-        !isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", replaced(goodAnnouncement, R"("service":"s")", R"("service":"")")))));
+    BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(
+        announcementRequest("i-1", replaced(goodAnnouncement, R"("service":"s")", R"("service":"")")))));
 }
 
 BOOST_AUTO_TEST_CASE(deeplyNestedInputIsRejectedWithoutUsingMuchMemory)
@@ -173,13 +166,13 @@
     constexpr std::size_t megabytes = 4'000'000;
     for (const std::string &text : {nested(manyLevels), std::string(megabytes, '['), "{\"labels\":" + std::string(megabytes, '['),
                                     "{\"phases\":[" + nested(manyLevels) + "]}"}) {
-        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcement("i-1", text))));
+        BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(announcementRequest("i-1", text))));
         BOOST_TEST(!isOk(PlatformAdapter::decodeSubmission(text)));
         const OperatorChange change = PlatformAdapter::decodeOperatorRow({"op", "config", 9, text, false});
         BOOST_TEST(!std::get<IgnoredRow>(change).reason.empty());
     }
     BOOST_TEST(!isOk(PlatformAdapter::decodeAnnouncement(
-        announcement("i-1", replaced(goodAnnouncement, R"("slots":8)", R"("slots":)" + nested(manyLevels))))));
+        announcementRequest("i-1", replaced(goodAnnouncement, R"("slots":8)", R"("slots":)" + nested(manyLevels))))));
     rusage after{};
     getrusage(RUSAGE_SELF, &after);
     constexpr long maxGrowthKilobytes = 60'000; // a level takes some 100 bytes in the parser
--- a/tests/pool/AnnouncementTableTest.cpp
+++ b/tests/pool/AnnouncementTableTest.cpp
@@ -1,4 +1,5 @@
 #include "pool/AnnouncementTable.h"
+#include "SupervisorMessages.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -9,15 +10,6 @@
 
 const WorkerIncarnation current{"worker", 1000};
 
-WorkerAnnouncement makeAnnouncement(const WorkerIncarnation &incarnation, const std::string &service, std::uint64_t sequence)
-{
-    WorkerAnnouncement announcement;
-    announcement.incarnation = incarnation;
-    announcement.service = service;
-    announcement.sequence = sequence;
-    return announcement;
-}
-
 std::string chosenService(const AnnouncementTable &table, const std::string &currentService)
 {
     const WorkerAnnouncement *chosen = table.choose(current, currentService);
--- a/tests/pool/ForeignAnnouncementTest.cpp
+++ b/tests/pool/ForeignAnnouncementTest.cpp
@@ -1,12 +1,13 @@
 #include "PoolWorld.h"
+#include "SupervisorMessages.h"
 #include "WorldChecks.h"
 #include "pool/WorkerSupervisor.h"
 #include "support/Seeds.h"
 
 #include <boost/test/unit_test.hpp>
-#include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace banyanlock
 {
@@ -21,7 +22,7 @@
     WorkerSupervisor supervisor{7, SupervisorTiming(), counters};
     TimePoint now{std::chrono::seconds(100)};
     WorkerIncarnation worker{"worker", 1'700'000'000'000};
-    std::set<std::string> services{"quote"}; // those that the owner's configuration names
+    std::vector<std::string> services{"quote"}; // those that the owner's configuration names
     std::uint64_t sequence = 0;
     bool answers = true;
 
@@ -30,16 +31,6 @@
         supervisor.onRegistered(1);
     }
 
-    static WorkerAnnouncement makeAnnouncement(const WorkerIncarnation &incarnation, const std::string &service, std::uint64_t number)
-    {
-        WorkerAnnouncement announcement;
-        announcement.incarnation = incarnation;
-        announcement.service = service;
-        announcement.sequence = number;
-        announcement.capacity = {1000, 1000, 8};
-        return announcement;
-    }
-
     void announce()
     {
         supervisor.onAnnouncement(makeAnnouncement(worker, "quote", ++sequence));
@@ -59,6 +50,21 @@
         return {lists, {}};
     }
 
+    /// Lets the agent send what is due, and answers it.
+    /// @return Number of calls for another incarnation than the worker's.
+    std::size_t step()
+    {
+        std::size_t otherCalls = 0;
+        supervisor.step(now);
+        for (const SupervisorAction &action : supervisor.takeActions()) {
+            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
+                otherCalls += renewal->incarnation == worker ? 0 : 1;
+                supervisor.onLists(*renewal, answerTo(*renewal), now);
+            }
+        }
+        return otherCalls;
+    }
+
     /// Runs the agent for a time in which the owner calls it and the worker announces itself every second.
     void run(Duration span)
     {
@@ -69,15 +75,10 @@
                 request.epoch = 1;
                 request.renews = true;
                 request.validUntil = now + fromMilliseconds(1000);
-                request.services.assign(services.begin(), services.end());
+                request.services = services;
                 supervisor.onSupervise(request, now);
             }
-            supervisor.step(now);
-            for (const SupervisorAction &action : supervisor.takeActions()) {
-                if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
-                    supervisor.onLists(*renewal, answerTo(*renewal), now);
-                }
-            }
+            step();
         }
     }
 
@@ -196,16 +197,7 @@
     answers = false;
     supervisor.onAnnouncement(makeAnnouncement({"worker", worker.startedUnixMilliseconds + 5000}, "quote", 1));
     run(fromMilliseconds(300));
-    SuperviseRequest request;
-    request.epoch = 1;
-    request.validUntil = now + fromMilliseconds(1000);
-    request.batch = 1;
-    TaskOrder order;
-    order.run = {{"job", 0, 0, 0}, 1};
-    order.incarnation = worker;
-    order.startBy = now + fromMilliseconds(1500);
-    request.orders = {order};
-    supervisor.onSupervise(request, now);
+    supervisor.onSupervise(makeStartRequest({{"job", 0, 0, 0}, 1}, worker, 1, now), now);
     BOOST_TEST(supervisor.status(now, 0).runs.empty());
     BOOST_TEST(supervisor.status(now, 0).refusals.size() == 1U);
 }
@@ -218,13 +210,7 @@
     for (std::int64_t number = 0; number < 1000; ++number) {
         supervisor.onAnnouncement(makeAnnouncement({"other-" + std::to_string(number), 1}, "quote", 1));
         now += fromMilliseconds(1);
-        supervisor.step(now);
-        for (const SupervisorAction &action : supervisor.takeActions()) {
-            if (const RenewWorker *renewal = std::get_if<RenewWorker>(&action)) {
-                calls += renewal->incarnation == worker ? 0 : 1;
-                supervisor.onLists(*renewal, answerTo(*renewal), now);
-            }
-        }
+        calls += step();
     }
     BOOST_TEST(calls < 50U);
     run(fromMilliseconds(2000));
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -223,7 +223,6 @@
     void makeEntry(std::size_t index);
     void makeAgent(std::size_t index);
     void announce(Agent &agent);
-    WorkerAnnouncement makeForeignAnnouncement(const WorkerAnnouncement &own);
     void flushEntry(Entry &entry);
     void flushAgent(Agent &agent);
     Duration answerDelay();
@@ -232,6 +231,7 @@
     static WorkerIncarnation receivingIncarnation(const Agent &agent, const WorkerIncarnation &intended);
     void execute(Agent &agent, const SupervisorAction &action);
     void registerAgent(Agent &agent);
+    void sendLists(Agent &agent, std::uint64_t generation, const RenewWorker &action, const RenewalAnswer &answer, Duration delay);
     void answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
                        TimePoint deadline);
     void call(PoolCall call, const std::string &job, std::size_t entry);
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -138,26 +138,27 @@
     });
 }
 
+void PoolWorld::sendLists(Agent &agent, std::uint64_t generation, const RenewWorker &action, const RenewalAnswer &answer, Duration delay)
+{
+    agent.loop->after(delay, [this, &agent, generation, action, answer] {
+        if (generation == agent.generation) {
+            agent.supervisor->onLists(action, answer, m_now);
+        }
+    });
+}
+
 void PoolWorld::answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
                               TimePoint deadline)
 {
     Agent &agent = *m_agents[index];
     if (agent.partitionedFromWorker) {
         m_network.after(renewalTimeout, [&agent, generation, action, this] {
-            agent.loop->after(Duration::zero(), [&agent, generation, action, this] {
-                if (generation == agent.generation) {
-                    agent.supervisor->onLists(action, RenewalAnswer(), m_now);
-                }
-            });
+            sendLists(agent, generation, action, RenewalAnswer(), Duration::zero());
         });
         return;
     }
     if (agent.crashed) {
-        agent.loop->after(fromMilliseconds(1), [&agent, generation, action, this] {
-            if (generation == agent.generation) {
-                agent.supervisor->onLists(action, {std::nullopt, RenewalFailure::ConnectionRefused}, m_now);
-            }
-        });
+        sendLists(agent, generation, action, {std::nullopt, RenewalFailure::ConnectionRefused}, fromMilliseconds(1));
         return;
     }
     // If the process that received the call has ended meanwhile, the model returns no lists, and the agent gets no usable answer.
@@ -173,11 +174,7 @@
     }
     const bool restarted = received.incarnation != agent.worker->announcement().incarnation;
     const RenewalFailure failure = restarted ? RenewalFailure::Disconnected : RenewalFailure::Unanswered;
-    agent.loop->after(answerDelay(), [&agent, generation, action, lists, failure, this] {
-        if (generation == agent.generation) {
-            agent.supervisor->onLists(action, {lists, failure}, m_now);
-        }
-    });
+    sendLists(agent, generation, action, {lists, failure}, answerDelay());
 }
 
 WorkerIncarnation PoolWorld::receivingIncarnation(const Agent &agent, const WorkerIncarnation &intended)
@@ -200,20 +197,12 @@
                     agent.worker->renew(received, m_now);
                 }
             });
-            agent.loop->after(renewal->wait + renewalTimeout, [this, &agent, generation, action = *renewal] {
-                if (generation == agent.generation) {
-                    agent.supervisor->onLists(action, RenewalAnswer(), m_now);
-                }
-            });
+            sendLists(agent, generation, *renewal, RenewalAnswer(), renewal->wait + renewalTimeout);
             return;
         }
         const bool otherWorker = received.incarnation.worker != agent.worker->announcement().incarnation.worker;
         if (otherWorker && !agent.partitionedFromWorker && !agent.crashed) {
-            agent.loop->after(answerDelay(), [this, &agent, generation, action = *renewal] {
-                if (generation == agent.generation) {
-                    agent.supervisor->onLists(action, {std::nullopt, RenewalFailure::OtherWorker}, m_now);
-                }
-            });
+            sendLists(agent, generation, *renewal, {std::nullopt, RenewalFailure::OtherWorker}, answerDelay());
             return;
         }
         answerRenewal(agent.index, generation, *renewal, received, m_now + renewal->wait);
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -1,4 +1,5 @@
 #include "pool/WorkerSupervisor.h"
+#include "SupervisorMessages.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -30,17 +31,9 @@
         firstRequest.epoch = 1;
         supervisor.onSupervise(firstRequest, now);
         answerWithEmptyLists();
-        startBy = now + fromMilliseconds(1500);
-        SuperviseRequest request;
-        request.epoch = 1;
+        SuperviseRequest request = makeStartRequest(firstRun, workerIncarnation, 1, now);
         request.renews = true;
-        request.validUntil = now + fromMilliseconds(1000);
-        request.batch = 1;
-        TaskOrder order;
-        order.run = firstRun;
-        order.incarnation = workerIncarnation;
-        order.startBy = startBy;
-        request.orders = {order};
+        startBy = request.orders.front().startBy;
         supervisor.onSupervise(request, now);
         for (const SupervisorAction &action : supervisor.takeActions()) {
             if (const StartTask *start = std::get_if<StartTask>(&action)) {
@@ -87,17 +80,9 @@
     /// @return Its start deadline.
     TimePoint orderSecondStart()
     {
-        SuperviseRequest request;
-        request.epoch = 1;
-        request.validUntil = now + fromMilliseconds(1000);
-        request.batch = 2;
-        TaskOrder order;
-        order.run = {{"job", 0, 0, 1}, 1};
-        order.incarnation = workerIncarnation;
-        order.startBy = now + fromMilliseconds(1500);
-        request.orders = {order};
+        const SuperviseRequest request = makeStartRequest({{"job", 0, 0, 1}, 1}, workerIncarnation, 2, now);
         supervisor.onSupervise(request, now);
-        return order.startBy;
+        return request.orders.front().startBy;
     }
 
     /// Confirms the starts that are due now.
--- a/tests/support/RandomText.h
+++ b/tests/support/RandomText.h
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <rapidcheck.h>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace banyanlock
