Let queries wait after a suspension until the mirror has caught up

Cause: a resumed entry answered waiting queries from its mirror before it read the change feed's answer; only the age of the configuration was checked.

A query now waits up to 0.6 s, and never beyond the caller's deadline, while the feed has been silent beyond the contact limit without a known outage. Ruled out: refusing (the answer is there within milliseconds), reading the row (a priced call for each query of an outage).

--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -19,7 +19,8 @@
 /// Handles the callers' submissions, cancellations and queries.
 ///
 /// The transaction that records a submission also checks the row version of the configuration that authorized it, so a removed key or
-/// queue never admits a job. States and counts come from this entry's mirror of the rows, and only while the mirror is fresh.
+/// queue never admits a job. States and counts come from this entry's mirror of the rows. After a suspension of the process they wait until
+/// the mirror has caught up, so that a job that other entries show as ended is not shown as running again.
 /// @tparam Platform Adapter of the platform.
 template <PoolCorePlatform Platform> class PoolApi
 {
@@ -73,6 +74,9 @@
         = fromMilliseconds(900); // without any answer of the table service; a caller waits 3 s, so two more attempts remain
     static constexpr Duration retryAfterOutage = fromMilliseconds(1000); // smallest non-zero value of the Retry-After header
     static constexpr int maxConfigurationChanges = 5; // during one submission
+    static constexpr Duration maxMirrorWait
+        = fromMilliseconds(600); // a request to the change feed that was interrupted is repeated within 200 ms; a caller waits 3 s
+    static constexpr Duration mirrorCheckInterval = fromMilliseconds(20);
 
     struct Exchange {
         PoolCall call;
@@ -126,6 +130,12 @@
         return names[static_cast<std::size_t>(outcome)];
     }
 
+    /// @return Time from the receipt of a call within which its answer still reaches the caller in time.
+    static Duration timeToAnswer(const PoolCall &call)
+    {
+        return call.deadline.value_or(defaultDeadline) - answerMargin;
+    }
+
     void process(const ExchangePointer &exchange)
     {
         if (!isFresh(m_loop.now())) {
@@ -152,14 +162,7 @@
             return;
         case CallKind::State:
         case CallKind::Pending:
-            if (exchange->job.empty()) {
-                CallAnswer count;
-                count.outcome = CallOutcome::Answered;
-                count.pending = m_mirror.jobs().countPending(queue->name);
-                answer(exchange, std::move(count));
-            } else {
-                lookUp(exchange);
-            }
+            answerFromMirror(exchange);
             return;
         case CallKind::Cancel:
             lookUp(exchange);
@@ -273,7 +276,7 @@
         }
         const auto shouldGiveUp = [this, exchange](TimePoint now) {
             const Duration waited = now - exchange->receivedAt;
-            return waited >= exchange->call.deadline.value_or(defaultDeadline) - answerMargin
+            return waited >= timeToAnswer(exchange->call)
                 || (waited >= storeSilenceLimit && m_mirror.lastContactAt() < exchange->receivedAt);
         };
         RepeatedCommit<Platform>::send(
@@ -300,6 +303,28 @@
 
     // State and cancellation
 
+    /// Answers a query, after a suspension of this process once the mirror has caught up. During an outage of the table service the mirror
+    /// is used as it is.
+    void answerFromMirror(const ExchangePointer &exchange)
+    {
+        const TimePoint now = m_loop.now();
+        const Duration maxWait = std::min(maxMirrorWait, timeToAnswer(exchange->call));
+        if (m_mirror.isPoolBehind(now) && now - exchange->receivedAt < maxWait) {
+            m_loop.timers().subscribe(now + mirrorCheckInterval, [this, exchange](TimePoint) {
+                answerFromMirror(exchange);
+            });
+            return;
+        }
+        if (exchange->job.empty()) {
+            CallAnswer count;
+            count.outcome = CallOutcome::Answered;
+            count.pending = m_mirror.jobs().countPending(exchange->queue);
+            answer(exchange, std::move(count));
+        } else {
+            lookUp(exchange);
+        }
+    }
+
     void lookUp(const ExchangePointer &exchange)
     {
         if (const GraphRecord *job = std::as_const(m_mirror.jobs()).find(exchange->job)) {
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -117,6 +117,15 @@
         return m_poolTable.currentAsOf;
     }
 
+    /// @param now Current time.
+    /// @return Whether the change feed of the pool's rows has been silent beyond the contact limit without a known outage, as after a
+    /// suspension of this process: the rows may have changed long ago, and the feed will tell soon.
+    bool isPoolBehind(TimePoint now) const
+    {
+        constexpr std::uint32_t failuresOfOutage = 2; // one request may have timed out during the suspension
+        return m_poolTable.loaded && now - m_poolTable.answeredAt >= contactLimit && m_poolTable.failuresInRow < failuresOfOutage;
+    }
+
     /// @param now Current time.
     /// @return Whether the table service has answered this entry within the contact limit.
     bool hasContact(TimePoint now) const
@@ -200,13 +209,19 @@
         std::uint64_t generation = 0; // incremented by a reload; answers to older requests are discarded
         bool loaded = false;
         bool available = true;
-        TimePoint currentAsOf{};
+        TimePoint currentAsOf{}; // when the latest answered request was sent
+        TimePoint answeredAt{};
+        std::uint32_t failuresInRow = 0; // requests since the latest answer
     };
 
     void recordAvailability(FollowedTable &followed, bool available)
     {
         if (available) {
             recordContact();
+            followed.answeredAt = m_lastContactAt;
+            followed.failuresInRow = 0;
+        } else {
+            ++followed.failuresInRow;
         }
         if (followed.available == available) {
             return;
--- a/tests/pool/PoolFaultTest.cpp
+++ b/tests/pool/PoolFaultTest.cpp
@@ -539,6 +539,25 @@
     }
 }
 
+// Guards against an entry that answers a query right after a suspension from what it knew before (soak seed 9500111).
+BOOST_AUTO_TEST_CASE(jobThatHasEndedIsNotShownAsRunningByAnEntryThatWasSuspended)
+{
+    PoolWorld world({});
+    world.run(fromMilliseconds(3000));
+    const std::size_t owner = world.owner();
+    const std::size_t other = (owner + 1) % 3;
+    world.submit("job1", makeJob(makeStep(1, 1, 1000)), "normal", owner);
+    world.run(fromMilliseconds(500));
+    world.freezeEntry(other, true);
+    world.queryState("job1", other); // reaches the entry before the end of the job does
+    world.run(fromMilliseconds(3000));
+    BOOST_REQUIRE(world.stateOf("job1") == GraphState::Completed);
+    world.freezeEntry(other, false);
+    world.run(fromMilliseconds(1000));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").outcome) == static_cast<int>(CallOutcome::Answered));
+    BOOST_TEST(static_cast<int>(world.answerFor("job1").state) == static_cast<int>(GraphState::Completed));
+}
+
 // Guards against jobs that are not counted as pending although none of their tasks has started: their workers became unreachable just
 // before they were placed (review case 5).
 BOOST_AUTO_TEST_CASE(placedJobThatHasNotBegunIsPending)
