--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -193,6 +193,7 @@
     m_lapsedEnds.clear();
     m_nextEnd = 1;
     m_fence = 0;
+    m_hasContact = false;
     m_leaseEnd = {};
     m_bornAt = now;
     m_announcement.incarnation.startedUnixMilliseconds += 1;
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -151,6 +151,19 @@
         return m_fence;
     }
 
+    /// Notes that the agent has got lists of this incarnation.
+    void noteContact()
+    {
+        m_hasContact = true;
+    }
+
+    /// @return Whether the agent has got lists of this incarnation. Before that it can't know of it, so a start that reaches it was sent to
+    /// an earlier one; calls name a worker by its id only.
+    bool hasContact() const
+    {
+        return m_hasContact;
+    }
+
     /// @return What its runs hold.
     Resources used() const;
 
@@ -176,6 +189,7 @@
     std::set<std::uint64_t> m_lapsedEnds; // the lease lapsed before they were acknowledged: a new start is allowed
     std::uint64_t m_nextEnd = 1;
     std::uint64_t m_fence = 0;
+    bool m_hasContact = false;
     Duration m_leaseEnd{};
     TimePoint m_bornAt{};
     std::size_t m_maxListedEnds = maxListedEnds;
--- a/standins/RunChecks.cpp
+++ b/standins/RunChecks.cpp
@@ -30,8 +30,11 @@
                    {"born", worker.announcement().incarnation.startedUnixMilliseconds},
                    {"at", toMilliseconds(m_now().time_since_epoch())}});
         m_firstStarts.try_emplace(run.task.job, m_now());
+        if (!worker.hasContact()) {
+            m_startedBeforeContact.insert(run.task);
+        }
         if (const auto running = m_runningTasks.find(run.task); running != m_runningTasks.end()) {
-            violate("two runs at once: " + describe(run) + " beside " + describe(running->second));
+            violateByStart(run, "two runs at once: " + describe(run) + " beside " + describe(running->second));
         }
         if (!m_specs.contains(run.task.job)) {
             violate("nobody asked for: " + describe(run));
@@ -39,7 +42,7 @@
         }
         const GraphSpec &spec = m_specs.at(run.task.job);
         if (m_doneTasks.contains(run.task) && !spec.steps[run.task.step].longRunning) { // those are restarted however they end
-            violate("started after its end was acknowledged: " + describe(run));
+            violateByStart(run, "started after its end was acknowledged: " + describe(run));
         }
         if (start.payload != spec.payload) {
             violate("with another payload than was submitted: " + describe(run));
@@ -56,10 +59,10 @@
         }
         const std::string &label = spec.steps[run.task.step].requiredLabel;
         if (!label.empty() && std::ranges::count(worker.announcement().labels, label) == 0) {
-            violate("without the label it requires: " + describe(run) + " on " + worker.announcement().incarnation.worker);
+            violateByStart(run, "without the label it requires: " + describe(run) + " on " + worker.announcement().incarnation.worker);
         }
         if (!worker.announcement().capacity.fits(worker.used())) {
-            violate("more than the worker has: " + describe(run) + " on " + worker.announcement().incarnation.worker);
+            violateByStart(run, "more than the worker has: " + describe(run) + " on " + worker.announcement().incarnation.worker);
         }
         m_runningTasks[run.task] = run;
     };
@@ -107,6 +110,11 @@
     return {step.demand, step.estimate, membersOf(step), step.checkpoints};
 }
 
+void RunChecks::violateByStart(const RunName &run, const std::string &text)
+{
+    violate((m_startedBeforeContact.contains(run.task) ? startBeforeContact : "") + text);
+}
+
 void RunChecks::violate(const std::string &text)
 {
     m_violations.push_back(std::to_string(toMilliseconds(m_now().time_since_epoch())) + " ms: " + text);
--- a/standins/RunChecks.h
+++ b/standins/RunChecks.h
@@ -62,7 +62,12 @@
     /// @return Whether all its tasks have ended well somewhere.
     bool haveAllSucceeded(const std::string &job) const;
 
+    /// Begins the text of a violation by a task of which a start reached a worker's new incarnation before the agent had got its lists.
+    static constexpr const char *startBeforeContact = "start before contact: ";
+
 private:
+    void violateByStart(const RunName &run, const std::string &text);
+
     std::function<TimePoint()> m_now;
     std::map<std::string, GraphSpec> m_specs;
     std::map<std::string, std::uint32_t> m_starts;
@@ -70,6 +75,7 @@
     std::map<TaskName, RunName> m_runningTasks;
     std::set<TaskName> m_succeeded; // ended well
     std::set<TaskName> m_doneTasks; // ended well, and the end was acknowledged before the lease had lapsed
+    std::set<TaskName> m_startedBeforeContact;
     std::vector<std::string> m_violations;
     std::uint32_t m_stops = 0;
 };
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -142,6 +142,9 @@
 {
     agent.loop->after(delay, [this, &agent, generation, action, answer] {
         if (generation == agent.generation) {
+            if (answer.lists && answer.lists->startedUnixMilliseconds == agent.worker->announcement().incarnation.startedUnixMilliseconds) {
+                agent.worker->noteContact();
+            }
             agent.supervisor->onLists(action, answer, m_now);
         }
     });
--- a/tests/soak/SoakFaults.cpp
+++ b/tests/soak/SoakFaults.cpp
@@ -144,6 +144,9 @@
         fault(link + " well");
         proxy.setFault(ProxyFault::None);
     }
+    if (&proxies == &m_workerProxies) {
+        m_workers[index]->setLinkDelay(proxy.delay());
+    }
 }
 
 void Soak::harmWorker()
@@ -186,6 +189,7 @@
         m_workers[machine]->model().setFailing(false);
         m_workers[machine]->model().setSlowness(1.0);
         m_workers[machine]->setBusy(0.0);
+        m_workers[machine]->setLinkDelay(Duration::zero());
         if (m_workers[machine]->model().announcement().capacity != usualCapacity) {
             changeKind(machine, usualCapacity, usualKind);
         }
--- a/tests/soak/SoakProxy.h
+++ b/tests/soak/SoakProxy.h
@@ -35,6 +35,12 @@
     /// @param delay Delay of `Delayed`.
     void setFault(ProxyFault fault, Duration delay = {});
 
+    /// @return Delay that applies now.
+    Duration delay() const
+    {
+        return m_fault == ProxyFault::Delayed ? m_delay : Duration::zero();
+    }
+
     /// Makes the connections that are open now silent for good; later ones are not.
     void silenceOpen();
 
--- a/tests/soak/WorkerServer.cpp
+++ b/tests/soak/WorkerServer.cpp
@@ -195,6 +195,15 @@
         });
         return;
     }
+    if (lists && !m_model.hasContact()) {
+        // Until the answer has come through the link, starts that were sent before may still arrive.
+        constexpr Duration handling = fromMilliseconds(20);
+        m_loop.timers().subscribe(now + 2 * m_linkDelay + handling, [this, incarnation](TimePoint) {
+            if (m_model.announcement().incarnation == incarnation) {
+                m_model.noteContact();
+            }
+        });
+    }
     (*waiting)(lists ? listsAnswer(*lists) : jsonAnswer(statusConflict, {{"reason", "fence"}}));
     m_waiting.erase(waiting);
 }
--- a/tests/soak/WorkerServer.h
+++ b/tests/soak/WorkerServer.h
@@ -65,6 +65,13 @@
         m_lateAnnouncements = share;
     }
 
+    /// Sets how long bytes take between agent and worker, each way.
+    /// @param delay The time.
+    void setLinkDelay(Duration delay)
+    {
+        m_linkDelay = delay;
+    }
+
     /// Sets the share of announcements that are followed by one of another writer.
     /// @param share The share.
     void setForeignAnnouncements(double share)
@@ -95,6 +102,7 @@
     double m_lateAnnouncements = 0.0;
     double m_foreignAnnouncements = 0.0;
     double m_busy = 0.0;
+    Duration m_linkDelay{};
     bool m_callsBeforeContact = true;
     std::list<HttpServer::Responder> m_waiting; // calls for lists that wait for an end
     HttpServer m_server;
