Derive the availability of a followed table from its failures in a row

The mirror kept `available` beside the newer `failuresInRow`, and the first is the second being zero. One of them is left.

--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -208,14 +208,19 @@
         std::uint64_t version = 0;
         std::uint64_t generation = 0; // incremented by a reload; answers to older requests are discarded
         bool loaded = false;
-        bool available = true;
         TimePoint currentAsOf{}; // when the latest answered request was sent
         TimePoint answeredAt{};
         std::uint32_t failuresInRow = 0; // requests since the latest answer
+
+        bool isAvailable() const
+        {
+            return failuresInRow == 0;
+        }
     };
 
     void recordAvailability(FollowedTable &followed, bool available)
     {
+        const bool wasAvailable = followed.isAvailable();
         if (available) {
             recordContact();
             followed.answeredAt = m_lastContactAt;
@@ -223,10 +228,9 @@
         } else {
             ++followed.failuresInRow;
         }
-        if (followed.available == available) {
+        if (wasAvailable == available) {
             return;
         }
-        followed.available = available;
         if (available) {
             Log::info("store_regained", {{"table", followed.table}, {"outage_ms", toMilliseconds(m_loop.now() - followed.currentAsOf)}});
             if (&followed == &m_poolTable) {
@@ -287,7 +291,7 @@
         const TimePoint sentAt = m_loop.now();
         const std::uint64_t generation = followed.generation;
         // After an outage the first request does not wait for a change, so that the mirror is fresh again at once.
-        const Duration wait = followed.available ? maxFollowWait : Duration::zero();
+        const Duration wait = followed.isAvailable() ? maxFollowWait : Duration::zero();
         m_store.follow(followed.table, followed.version, wait, [this, &followed, sentAt, generation](const FollowResult &result) {
             if (generation != followed.generation) {
                 return;
