Say once when the next identity query is due

sendIdentityQuery and nextStep each worked it out, in different words. While a query is in flight m_nextQuery is not later than the time at which it was sent, since only an answer sets it, so both come to the same.

--- a/src/pool/SupervisorIdentity.cpp
+++ b/src/pool/SupervisorIdentity.cpp
@@ -67,10 +67,14 @@
     return mayCall ? m_announcements.nextUnconfirmed(m_worker->incarnation) : std::nullopt;
 }
 
+TimePoint WorkerSupervisor::nextIdentityQuery() const
+{
+    return m_queriedIncarnation ? m_querySentAt + m_timing.answerMargin : m_nextQuery;
+}
+
 void WorkerSupervisor::sendIdentityQuery(TimePoint now)
 {
-    const bool isInFlight = m_queriedIncarnation && now - m_querySentAt < m_timing.answerMargin;
-    if (isInFlight || now < m_nextQuery) {
+    if (now < nextIdentityQuery()) {
         return;
     }
     const std::optional<WorkerIncarnation> incarnation = incarnationToQuery();
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -374,8 +374,7 @@
         }
     }
     if (incarnationToQuery()) {
-        const TimePoint due = m_queriedIncarnation ? m_querySentAt + m_timing.answerMargin : m_nextQuery;
-        next = std::min(next, std::max(due, now + fromMilliseconds(1)));
+        next = std::min(next, std::max(nextIdentityQuery(), now + fromMilliseconds(1)));
     }
     for (const auto &[run, pending] : m_stops) {
         if (!pending.outstanding) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -218,6 +218,7 @@
 
     bool useBestAnnouncement();
     std::optional<WorkerIncarnation> incarnationToQuery() const;
+    TimePoint nextIdentityQuery() const;
     void sendIdentityQuery(TimePoint now);
     void onIdentityAnswer(const RenewWorker &action, const RenewalAnswer &answer, TimePoint now);
     void changeIncarnation(const WorkerIncarnation &incarnation);
