--- a/src/pool/AnnouncementTable.cpp
+++ b/src/pool/AnnouncementTable.cpp
@@ -6,11 +6,21 @@
 
 namespace banyanlock
 {
+namespace
+{
+
+/// @return Whether both announcements are for the same incarnation and service.
+bool haveSameSubject(const WorkerAnnouncement &left, const WorkerAnnouncement &right)
+{
+    return left.incarnation == right.incarnation && left.service == right.service;
+}
+
+} // namespace
 
 bool AnnouncementTable::add(const WorkerAnnouncement &announcement, const WorkerAnnouncement *current)
 {
     const auto isKnown = [&](const Entry &entry) {
-        return entry.announcement.incarnation == announcement.incarnation && entry.announcement.service == announcement.service;
+        return haveSameSubject(entry.announcement, announcement);
     };
     auto known = std::ranges::find_if(m_entries, isKnown);
     if (known != m_entries.end() && announcement.sequence <= known->announcement.sequence) {
@@ -35,8 +45,7 @@
         return;
     }
     const auto isCurrent = [current](const Entry &entry) {
-        return current != nullptr && entry.announcement.incarnation == current->incarnation
-            && entry.announcement.service == current->service;
+        return current != nullptr && haveSameSubject(entry.announcement, *current);
     };
     m_entries.erase(std::ranges::min_element(m_entries, {}, [&](const Entry &entry) {
         return std::pair(isCurrent(entry), entry.receivedAt);
