Look a job without a start up only once its time has passed

showUnstartedAsQueued runs in each step of the owner, and looked each such job up, which may decode its units, before it compared times. Most jobs start within some milliseconds.

--- a/src/pool/PoolUnits.cpp
+++ b/src/pool/PoolUnits.cpp
@@ -411,8 +411,11 @@
 void PoolScheduler::showUnstartedAsQueued(TimePoint now)
 {
     for (const auto &[id, placedAt] : m_jobsWithoutStart) {
+        if (now - placedAt <= m_timing.startConfirmation) {
+            continue;
+        }
         GraphRecord *job = m_jobs.find(id);
-        if (job != nullptr && job->progress.state == GraphState::Running && now - placedAt > m_timing.startConfirmation) {
+        if (job != nullptr && job->progress.state == GraphState::Running) {
             job->progress.state = GraphState::Queued;
             markDirty(*job);
             Log::info("job_not_started", {{"job", id}, {"placed_ms_ago", toMilliseconds(now - placedAt)}});
