--- a/tests/pool/WorldChecks.h
+++ b/tests/pool/WorldChecks.h
@@ -23,4 +23,11 @@
     checkNoViolations(world);
 }
 
+/// Checks that the newest query of a job was answered with a state.
+inline void checkShownAs(const PoolWorld &world, const std::string &job, GraphState state)
+{
+    BOOST_TEST(static_cast<int>(world.answerFor(job).outcome) == static_cast<int>(CallOutcome::Answered));
+    BOOST_TEST(static_cast<int>(world.answerFor(job).state) == static_cast<int>(state));
+}
+
 } // namespace banyanlock
