--- a/review/standins-3/Cases.h
+++ b/review/standins-3/Cases.h
@@ -25,4 +25,12 @@
 /// A client cancels a job whose submission was held up by a partition between an entry and the store.
 Verdict cancelBeforeLateSubmission(const CaseContext &context);
 
+/// The machine of a worker is cut off, and suspended for a part of that time.
+Verdict suspensionBehindCut(const CaseContext &context);
+
+/// @param runs All runs.
+/// @param record Record of the case; each pair that is found is written to it.
+/// @return Whether two runs of one task were at work at the same time.
+bool hasOverlap(const std::vector<SeenRun> &runs, Record &record);
+
 } // namespace review
--- a/review/standins-3/Executor.cpp
+++ b/review/standins-3/Executor.cpp
@@ -73,9 +73,17 @@
     }).detach();
 }
 
+void Executor::suspend(std::int64_t milliseconds)
+{
+    const std::lock_guard lock(m_mutex);
+    const std::int64_t begin = nowMs();
+    sleepMs(milliseconds);
+    m_suspendedFor += nowMs() - begin;
+}
+
 std::int64_t Executor::clock() const
 {
-    return nowMs() - m_bornAt + 1;
+    return nowMs() - m_bornAt - m_suspendedFor + 1;
 }
 
 Response Executor::refuse(const char *reason) const
@@ -122,7 +130,7 @@
     if (const auto barred = m_barred.find(key.first); barred != m_barred.end() && key.second <= barred->second) {
         return refuse("old");
     }
-    m_running[key] = {nowMs(), m_plan(key.first)};
+    m_running[key] = {clock(), m_plan(key.first)};
     m_log.begin(m_kind.name, key.first, key.second);
     return {200, Json{{"clockMs", clock()}}.dump()};
 }
@@ -161,7 +169,7 @@
     });
     Json running = Json::array();
     for (const auto &[key, run] : m_running) {
-        const std::int64_t percent = std::min<std::int64_t>((nowMs() - run.begin) * 100 / std::max<std::int64_t>(run.plan.workMs, 1), 99);
+        const std::int64_t percent = std::min<std::int64_t>((clock() - run.begin) * 100 / std::max<std::int64_t>(run.plan.workMs, 1), 99);
         running.push_back({key.first, key.second, "", percent, 0});
     }
     return {200, Json{{"born", m_born}, {"clockMs", clock()}, {"running", running}, {"finished", m_ends}}.dump()};
@@ -183,7 +191,7 @@
     for (const auto &[key, run] : before) {
         if (clock() > m_leaseEnd) {
             finish(key, "lapsed");
-        } else if (nowMs() - run.begin >= run.plan.workMs) {
+        } else if (clock() - run.begin >= run.plan.workMs) {
             finish(key, run.plan.fails ? "failed" : "done");
         }
     }
@@ -194,6 +202,7 @@
     constexpr std::int64_t cpu = 64000;
     constexpr std::int64_t memory = 131072;
     constexpr std::int64_t answerTime = 1000;
+    std::unique_lock lock(m_mutex);
     const Json body{{"service", m_kind.service},
                     {"address", "127.0.0.1:" + std::to_string(m_port)},
                     {"zone", m_kind.zone},
@@ -206,6 +215,7 @@
                     {"clockMs", clock()},
                     {"born", m_born},
                     {"seq", ++m_sequence}};
+    lock.unlock();
     call(m_announcePort, "PUT", "/api/instances/" + m_id, {{"Content-Type", "application/json"}, {"Host", "127.0.0.1"}}, body.dump(),
          answerTime);
 }
--- a/review/standins-3/Executor.h
+++ b/review/standins-3/Executor.h
@@ -84,9 +84,13 @@
     /// Starts to serve and to announce itself.
     void start();
 
+    /// Stands still as on a suspended machine: nothing is answered, tasks don't work, and the steady clock doesn't count the time.
+    /// @param milliseconds Length of the suspension; the call returns at its end.
+    void suspend(std::int64_t milliseconds);
+
 private:
     struct Run {
-        std::int64_t begin = 0;
+        std::int64_t begin = 0; // on the executor's clock
         TaskPlan plan;
     };
     using RunKey = std::pair<std::string, std::uint64_t>;
@@ -106,6 +110,7 @@
     std::string m_id;
     std::int64_t m_born;
     std::int64_t m_bornAt;
+    std::atomic<std::int64_t> m_suspendedFor = 0;
     int m_announcePort;
     int m_port;
     RunLog &m_log;
--- a/review/standins-3/main.cpp
+++ b/review/standins-3/main.cpp
@@ -10,7 +10,8 @@
 {
     using namespace review;
     const std::map<std::string, Verdict (*)(const CaseContext &)> cases{{"hand-over-during-region-cut", handOverDuringRegionCut},
-                                                                        {"cancel-before-late-submission", cancelBeforeLateSubmission}};
+                                                                        {"cancel-before-late-submission", cancelBeforeLateSubmission},
+                                                                        {"suspension-behind-cut", suspensionBehindCut}};
     if (argc != 4 || !cases.contains(argv[1])) {
         std::cerr << "usage: case NAME PROGRAM RECORD; with TROUBLE=0 without the disruption\n";
         return static_cast<int>(Verdict::NotRun);
