--- a/review/standins-3/HandOverDuringRegionCut.cpp
+++ b/review/standins-3/HandOverDuringRegionCut.cpp
@@ -2,6 +2,8 @@
 
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
+#include <string_view>
 
 namespace review
 {
@@ -57,15 +59,19 @@
     constexpr std::int64_t answerTime = 60;
     sleepMs(answerTime);
     stopping = true;
-    record.write("SIGTERM to " + old.name);
-    old.program->signal(SIGTERM);
+    const char *part = std::getenv("REVIEW_PART"); // "cut": without the signal, for comparison
+    const bool isStopped = part == nullptr || std::string_view(part) != "cut";
+    if (isStopped) {
+        record.write("SIGTERM to " + old.name);
+        old.program->signal(SIGTERM);
+    }
 
     constexpr std::int64_t grace = 6000;
     const std::int64_t stoppedAt = nowMs();
     Deployment::waitFor(grace, [&] {
         return !old.program->isRunning();
     });
-    if (old.program->isRunning()) {
+    if (isStopped && old.program->isRunning()) {
         record.write("SIGKILL to " + old.name + " after the grace period");
         old.program->signal(SIGKILL);
     }
