--- a/review/standins-3/Net.cpp
+++ b/review/standins-3/Net.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <arpa/inet.h>
+#include <atomic>
 #include <cctype>
 #include <chrono>
 #include <netinet/tcp.h>
@@ -173,15 +174,22 @@
 
 int freePort()
 {
-    const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address = loopback(0);
-    socklen_t size = sizeof(address);
-    if (bind(socket, reinterpret_cast<sockaddr *>(&address), size) != 0
-        || getsockname(socket, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
-        throw std::runtime_error("no free port");
+    // Below the ports that the system gives to outgoing connections, which could take one before its process listens. Plays side by side
+    // begin at different ports.
+    constexpr int firstPort = 10'000;
+    constexpr int portsOfPlay = 100;
+    constexpr int plays = 200;
+    static std::atomic<int> next = firstPort + getpid() % plays * portsOfPlay;
+    while (true) {
+        const int port = next++;
+        const int socket = ::socket(AF_INET, SOCK_STREAM, 0);
+        const sockaddr_in address = loopback(port);
+        const bool isFree = bind(socket, reinterpret_cast<const sockaddr *>(&address), sizeof(address)) == 0;
+        close(socket);
+        if (isFree) {
+            return port;
+        }
     }
-    close(socket);
-    return ntohs(address.sin_port);
 }
 
 int connectTo(int port)
