Renew no leases while a release of the pool may have taken effect

Cause: mayRenew looked at the last confirmed transaction only. The release had taken effect; the next owner takes the released row as proof that the earlier owner renews nothing, and the earlier one, which had no answer, renewed for 5 s more. The hand-over to a stronger entry has the same path.

The owner now stops renewing when it sends a release, and goes on only when the mirror holds a newer version of the row that still names it. A release checks the version that it replaces, so then no copy of it can take effect.

In the virtual world an unresponsive table service now loses answers that are under way too, and a region can be cut off.

--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -128,6 +128,9 @@
         if (release) {
             row.owner.clear();
             row.successor = m_successor;
+            m_releaseSent = true;
+            m_releaseReplaces = m_mirror.ownerVersion();
+            Log::info("release_sent", {{"epoch", static_cast<std::int64_t>(row.epoch)}, {"successor", m_successor}});
         }
         m_writtenRow = row;
         TableTransaction transaction;
@@ -143,10 +146,10 @@
     }
 
     /// @param now Current time.
-    /// @return Whether the last committed transaction is recent enough for the owner to renew leases.
+    /// @return Whether the owner may renew leases: its last committed transaction is recent enough, and it can't have released the pool.
     bool mayRenew(TimePoint now) const
     {
-        return now - m_lastWrite < m_scheduler.detachedLimit();
+        return !mayHaveReleased() && now - m_lastWrite < m_scheduler.detachedLimit();
     }
 
     /// Records how long an answer of an agent has waited until it was handled.
@@ -182,6 +185,13 @@
         return m_drainRequested || !m_successor.empty();
     }
 
+    /// @return Whether a release has been sent of which any copy may still take effect. The next owner takes the released row as proof that
+    /// this one renews nothing. Only a newer version of the row that still names this entry shows that all copies fail their check.
+    bool mayHaveReleased() const
+    {
+        return m_releaseSent && m_mirror.ownerVersion() == m_releaseReplaces;
+    }
+
     /// Hands the pool over to a stronger entry that asks for it.
     void considerCandidate(TimePoint now)
     {
@@ -235,6 +245,7 @@
     {
         m_pendingTransaction.reset();
         m_successor.clear();
+        m_releaseSent = false;
         m_scheduler.releaseOwnership();
         m_mirror.setOwnsProgress(false);
     }
@@ -430,6 +441,8 @@
     int m_copies = 0; // copies of the pending transaction in flight
     TimePoint m_sentAt{}; // of the newest copy
     bool m_drainRequested = false;
+    bool m_releaseSent = false; // a transaction that releases the pool
+    std::uint64_t m_releaseReplaces = 0; // version of the owner's row that the newest such transaction checks
     std::string m_successor; // stronger entry that the pool is being handed over to; empty for none
     TimePoint m_ownedSince{};
     OwnerLag m_lag;
--- a/tests/pool/OwnershipTest.cpp
+++ b/tests/pool/OwnershipTest.cpp
@@ -1,5 +1,6 @@
 #include "PoolWorld.h"
 #include "pool/OwnerCandidate.h"
+#include "pool/OwnerRow.h"
 
 #include <boost/test/unit_test.hpp>
 #include <map>
@@ -24,6 +25,28 @@
     return options;
 }
 
+/// @return The owner's row as the table service has it.
+OwnerRow recordedOwner(PoolWorld &world)
+{
+    const TableRow &row = world.tableService().rows.at({std::string(PoolRows::table), std::string(PoolRows::ownerKey)});
+    return decodeOwnerRow(row.value, row.version).value();
+}
+
+/// Advances time until the owner's row fulfils a condition, or for 5 s.
+template <typename Condition> bool runUntilOwnerRow(PoolWorld &world, Condition condition)
+{
+    constexpr int milliseconds = 5000;
+    for (int tick = 0; tick < milliseconds && !condition(recordedOwner(world)); ++tick) {
+        world.run(fromMilliseconds(1));
+    }
+    return condition(recordedOwner(world));
+}
+
+bool isReleased(const OwnerRow &row)
+{
+    return row.owner.empty();
+}
+
 void checkNoViolations(const PoolWorld &world)
 {
     for (const std::string &violation : world.violations()) {
@@ -31,6 +54,23 @@
     }
 }
 
+/// Cuts the region of an entry and three workers off, and checks that their tasks end with the leases that are granted now and run
+/// elsewhere.
+void checkRunsLapseInRegionOf(PoolWorld &world, std::size_t entry)
+{
+    const std::vector<std::size_t> region{0, 1, 2};
+    const std::uint32_t starts = world.startsOf("job");
+    world.cutOffRegion({entry}, region, true);
+    const PoolTiming timing;
+    world.run(timing.lease + timing.leaseSlack);
+    for (const std::size_t worker : region) {
+        BOOST_TEST(world.worker(worker).runningCount() == 0U);
+    }
+    world.run(fromMilliseconds(15000));
+    BOOST_TEST(world.startsOf("job") > starts);
+    checkNoViolations(world);
+}
+
 /// Runs a pool under load whose only strong entry gets contact with the table service late; a weak entry owns the pool at first.
 struct LateStrongEntry {
     PoolWorld world{entriesWith({weak, weak, strong})};
@@ -137,6 +177,51 @@
     checkNoViolations(world);
 }
 
+// Two runs of a task: an owner whose release had no answer renewed leases while the next owner relied on the released row.
+BOOST_AUTO_TEST_CASE(ownerRenewsNothingWhileItsReleaseMayHaveTakenEffect)
+{
+    PoolWorld world(entriesWith({strong, strong, strong}));
+    world.run(startupTime);
+    const std::size_t first = world.owner();
+    constexpr std::int64_t milliseconds = 30000;
+    world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", first);
+    world.run(fromMilliseconds(2000));
+    BOOST_REQUIRE(world.startsOf("job") == 12U);
+    world.drainEntry(first);
+    BOOST_REQUIRE(runUntilOwnerRow(world, isReleased));
+    checkRunsLapseInRegionOf(world, first); // the answer is on its way
+}
+
+// The same by a hand-over to a stronger entry.
+BOOST_FIXTURE_TEST_CASE(ownerRenewsNothingWhileItsHandOverMayHaveTakenEffect, LateStrongEntry)
+{
+    constexpr std::int64_t milliseconds = 30000;
+    world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", 1 - first);
+    world.partitionEntryFromStore(2, false);
+    BOOST_REQUIRE(runUntilOwnerRow(world, isReleased));
+    BOOST_REQUIRE(world.startsOf("job") == 12U);
+    checkRunsLapseInRegionOf(world, first);
+}
+
+// Work lost: the owner stops renewing when it sends its release, so its leases have to last for an outage that begins at that moment.
+BOOST_AUTO_TEST_CASE(plannedStopOfTheOwnerInAnOutageLosesNoWork)
+{
+    PoolWorld world(entriesWith({strong, strong, strong}));
+    world.run(startupTime);
+    const std::size_t first = world.owner();
+    constexpr std::int64_t milliseconds = 12000;
+    world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", first);
+    world.run(fromMilliseconds(2000));
+    world.drainEntry(first);
+    world.tableService().down = true;
+    world.run(fromMilliseconds(4600));
+    world.tableService().down = false;
+    world.run(fromMilliseconds(15000));
+    BOOST_TEST(static_cast<int>(world.stateOf("job")) == static_cast<int>(GraphState::Completed));
+    BOOST_TEST(world.startsOf("job") == 12U);
+    checkNoViolations(world);
+}
+
 BOOST_AUTO_TEST_CASE(fewOfManyEntriesTryAtTheSameTime)
 {
     OwnerRow silent;
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -383,6 +383,17 @@
     m_agents[worker]->partitionedFromWorker = partitioned;
 }
 
+void PoolWorld::cutOffRegion(const std::vector<std::size_t> &entries, const std::vector<std::size_t> &workers, bool cutOff)
+{
+    for (const std::size_t entry : entries) {
+        m_entries[entry]->inCutOffRegion = cutOff;
+        setStoreUnresponsive(entry, cutOff);
+    }
+    for (const std::size_t worker : workers) {
+        m_agents[worker]->inCutOffRegion = cutOff;
+    }
+}
+
 PoolWorkerModel &PoolWorld::worker(std::size_t index)
 {
     return *m_agents[index]->worker;
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -50,7 +50,7 @@
         m_partitioned = partitioned;
     }
 
-    /// @param unresponsive Whether the service is unresponsive for this process: nothing that it sends arrives, and transactions and
+    /// @param unresponsive Whether the service is unresponsive for this process: nothing arrives in either direction, and transactions and
     /// follow requests fail only after their timeouts.
     void setUnresponsive(bool unresponsive)
     {
@@ -69,6 +69,8 @@
     {
         return m_partitioned || m_unresponsive || m_tableService->down;
     }
+    /// Passes an answer on after a delay. If the service has become unresponsive meanwhile, the request fails after its timeout.
+    template <typename Answer> void deliver(const Answer &answer, Duration timeout, const std::function<void(Answer)> &callback);
     void answerFollow(const std::string &table, std::uint64_t after, TimePoint deadline, const std::function<void(FollowResult)> &callback);
     void commitQueued(const TableTransaction &transaction, const std::function<void(CommitResult)> &callback);
     void schedule(Duration span, std::function<void()> event);
@@ -161,6 +163,11 @@
     void replaceWorker(std::size_t worker);
     void partitionAgentFromEntries(std::size_t worker, bool partitioned);
     void partitionAgentFromWorker(std::size_t worker, bool partitioned);
+    /// Cuts one region off from the others and from the table service; within it messages arrive.
+    /// @param entries Indices of the entries in the region.
+    /// @param workers Indices of the workers in the region.
+    /// @param cutOff Whether it is cut off.
+    void cutOffRegion(const std::vector<std::size_t> &entries, const std::vector<std::size_t> &workers, bool cutOff);
     void drainEntry(std::size_t entry);
     void setFailureDomainOut(const std::string &failureDomain, bool out);
     void setKeys(const std::vector<std::string> &keys);
@@ -227,6 +234,7 @@
     void flushAgent(Agent &agent);
     Duration answerDelay();
     void sendCall(Entry &entry, CallAgent call);
+    static bool isReachable(const Entry &entry, const Agent &agent);
     void deliver(Agent &agent, std::uint64_t generation, const SuperviseRequest &request, std::function<void(WorkerStatus)> reply);
     static WorkerIncarnation receivingIncarnation(const Agent &agent, const WorkerIncarnation &intended);
     void execute(Agent &agent, const SupervisorAction &action);
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -40,6 +40,11 @@
     }
 }
 
+bool PoolWorld::isReachable(const Entry &entry, const Agent &agent)
+{
+    return !agent.partitioned && !entry.partitionedFromAgents && agent.inCutOffRegion == entry.inCutOffRegion;
+}
+
 void PoolWorld::sendCall(Entry &entry, CallAgent call)
 {
     const TimePoint sentAt = m_now;
@@ -64,12 +69,12 @@
     Agent *agent = found->get();
     const auto transitTime = fromMilliseconds(1 + m_random.below(40));
     m_network.after(transitTime, [this, &entry, agent, call = std::move(call), answer] {
-        if (agent->removed || agent->partitioned || entry.partitionedFromAgents) {
+        if (agent->removed || !isReachable(entry, *agent)) {
             return;
         }
         deliver(*agent, agent->generation, receivedAs<wire::SuperviseRequest>(call.request),
                 [this, &entry, agent, answer](const WorkerStatus &status) {
-                    if (m_random.chance(m_options.messageLossRate) || agent->partitioned || entry.partitionedFromAgents || entry.killed) {
+                    if (m_random.chance(m_options.messageLossRate) || !isReachable(entry, *agent) || entry.killed) {
                         return;
                     }
                     entry.loop.after(fromMilliseconds(m_random.below(40)) + answerDelay(),
--- a/tests/pool/PoolWorldProcesses.h
+++ b/tests/pool/PoolWorldProcesses.h
@@ -41,6 +41,7 @@
     PoolOwner<WorldPlatform> owner;
     PoolApi<WorldPlatform> api;
     bool partitionedFromAgents = false;
+    bool inCutOffRegion = false;
     bool killed = false;
 };
 
@@ -69,6 +70,7 @@
     std::uint64_t generation = 0; // number of processes the agent has had
     bool registering = false; // a registration in the table service is in flight
     bool partitioned = false; // from all entries
+    bool inCutOffRegion = false;
     bool partitionedFromWorker = false; // from its worker
     bool removed = false; // the instance is removed, with agent and worker
     bool crashed = false; // the worker's process has ended and is not restarted
--- a/tests/pool/VirtualStore.cpp
+++ b/tests/pool/VirtualStore.cpp
@@ -34,6 +34,19 @@
     });
 }
 
+template <typename Answer> void VirtualStore::deliver(const Answer &answer, Duration timeout, const std::function<void(Answer)> &callback)
+{
+    schedule(delay(), [this, answer, timeout, callback] {
+        if (!m_unresponsive) {
+            callback(answer);
+            return;
+        }
+        schedule(timeout, [callback] {
+            callback(Answer());
+        });
+    });
+}
+
 void VirtualStore::commit(const TableTransaction &transaction, std::function<void(CommitResult)> callback)
 {
     schedule(delay(), [this, transaction, callback = std::move(callback)] {
@@ -68,9 +81,7 @@
             });
             return;
         }
-        schedule(delay(), [callback, result] {
-            callback(result);
-        });
+        deliver(result, transactionTimeout, callback);
     });
 }
 
@@ -89,10 +100,7 @@
     }
     m_tableService->busyUntil += m_tableService->transactionDuration;
     schedule(m_tableService->busyUntil - now, [this, transaction, callback] {
-        const CommitResult result = m_tableService->commit(transaction);
-        schedule(delay(), [callback, result] {
-            callback(result);
-        });
+        deliver(m_tableService->commit(transaction), transactionTimeout, callback);
     });
 }
 
@@ -159,9 +167,7 @@
         });
         return;
     }
-    schedule(delay(), [callback, result] {
-        callback(result);
-    });
+    deliver(result, followTimeout, callback);
 }
 
 } // namespace banyanlock
