Count a new owner's time without the store from its attempt to acquire the pool

The time of the first attempt with the epoch now counts, which is no later than the commit that the next owner's check has replaced.

entrySuspendedWhileItAcquiresThePoolRenewsFromTheTimeOfItsAttempt failed before (6 checks: tasks in the entry's region worked on when their leases had to be over) and passes.

--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -78,7 +78,7 @@
             // The mirror now holds this row and all rows that were written before it.
             m_scheduler.acquireOwnership(row.epoch, m_handedOver, now);
             m_mirror.setOwnsProgress(true);
-            m_lastWrite = now;
+            m_lastWrite = m_acquireSentAt; // the row may have been written long ago if this process was suspended
             m_ownedSince = now;
             m_counters.add(Counter::PoolOwnershipTaken);
             Log::info("ownership_taken", {{"epoch", static_cast<std::int64_t>(row.epoch)}});
@@ -325,6 +325,9 @@
         transaction.checks.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), m_mirror.ownerVersion()});
         transaction.writes.push_back({std::string(PoolRows::table), std::string(PoolRows::ownerKey), encodeOwnerRow(next)});
         m_acquiring = true;
+        if (m_acquiredEpoch != next.epoch) {
+            m_acquireSentAt = m_loop.now();
+        }
         m_acquiredEpoch = next.epoch;
         m_handedOver = next.earlierOwnersExpired;
         m_store.commit(transaction, [this](const CommitResult &result) {
@@ -451,6 +454,7 @@
     std::uint64_t m_followedEpoch = 0;
     TimePoint m_nextCandidacy{};
     std::uint64_t m_acquiredEpoch = 0;
+    TimePoint m_acquireSentAt{}; // of the first attempt with that epoch
     bool m_handedOver = false; // the previous owner had released the pool
     TimePoint m_lastWrite{};
     TimePoint m_retryAt{};
--- a/tests/pool/OwnershipTest.cpp
+++ b/tests/pool/OwnershipTest.cpp
@@ -222,6 +222,49 @@
     checkNoViolations(world);
 }
 
+// An entry that is suspended while it acquires the pool must not renew for longer than the next owner assumes.
+BOOST_AUTO_TEST_CASE(entrySuspendedWhileItAcquiresThePoolRenewsFromTheTimeOfItsAttempt)
+{
+    int resumedAsOwner = 0;
+    for (int answerAge = 0; answerAge < 40; answerAge += 4) { // at some of them the answer, and no newer one, waits for the entry
+        PoolWorld world(entriesWith({strong, strong, strong}));
+        world.run(startupTime);
+        const std::size_t first = world.owner();
+        constexpr std::int64_t milliseconds = 40000;
+        world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", first);
+        world.run(fromMilliseconds(2000));
+        const std::string firstName = recordedOwner(world).owner;
+        world.freezeEntry(first, true);
+        BOOST_REQUIRE(runUntilOwnerRow(world, [&](const OwnerRow &row) {
+            return row.owner != firstName;
+        }));
+        const TimePoint acquired = world.now();
+        const std::size_t next = (first + 1) % 3;
+        const std::size_t second = recordedOwner(world).owner == "entry-" + std::to_string(next) ? next : 3 - first - next;
+        world.run(fromMilliseconds(answerAge));
+        if (world.isOwner(second)) {
+            break; // the answer has arrived
+        }
+        const std::vector<std::size_t> region{0, 1, 2};
+        world.freezeEntry(second, true);
+        world.cutOffRegion({}, region, true);
+        world.run(fromMilliseconds(3800));
+        BOOST_REQUIRE(world.isOwner(3 - first - second));
+        world.freezeEntry(second, false);
+        world.run(fromMilliseconds(1));
+        resumedAsOwner += world.isOwner(second) ? 1 : 0;
+        world.cutOffRegion({second}, region, true);
+        const PoolTiming timing;
+        world.run(acquired + timing.detachedLimit + timing.lease + timing.leaseSlack - world.now());
+        for (const std::size_t worker : region) {
+            BOOST_TEST(world.worker(worker).runningCount() == 0U);
+        }
+        world.run(fromMilliseconds(10000));
+        checkNoViolations(world);
+    }
+    BOOST_TEST(resumedAsOwner > 0);
+}
+
 BOOST_AUTO_TEST_CASE(fewOfManyEntriesTryAtTheSameTime)
 {
     OwnerRow silent;
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -399,6 +399,11 @@
     return *m_agents[index]->worker;
 }
 
+bool PoolWorld::isOwner(std::size_t entry) const
+{
+    return m_entries[entry]->scheduler.isOwner();
+}
+
 std::size_t PoolWorld::owner() const
 {
     for (std::size_t index = 0; index < m_entries.size(); ++index) {
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -186,6 +186,10 @@
         return m_agents.size();
     }
 
+    /// @param entry Index of an entry.
+    /// @return Whether it considers itself the owner of the pool.
+    bool isOwner(std::size_t entry) const;
+
     /// @return Index of the entry that owns the pool, or the number of entries if none does.
     std::size_t owner() const;
 
