Record cancellations of unknown jobs, and check for them in submissions

Cause: a cancellation that found no job left nothing behind, and the transaction of a submission checked only that the job did not exist. No read can tell that a transaction is still on its way.

Such a cancellation now writes a row under the check that there is no such job, and a submission checks that there is no such row. It is keyed by job, host and prefix of the queue, and workspace, so nobody bars the jobs of others. A submission that meets it is refused with 503 as not accepted. One check more for each submission; one write in place of a read for each such cancellation.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -99,6 +99,8 @@
     {PoolRefusedQueue, "banyanlock_pool_refusals_total", "reason=\"unknown_queue\"", ""},
     {PoolRefusedMalformed, "banyanlock_pool_refusals_total", "reason=\"malformed\"", ""},
     {PoolRefusedOwnerBehind, "banyanlock_pool_refusals_total", "reason=\"owner_behind\"", ""},
+    {PoolRefusedCancelledBefore, "banyanlock_pool_refusals_total", "reason=\"cancelled_before\"", ""},
+    {PoolRefusedEarlyCancellations, "banyanlock_pool_refusals_total", "reason=\"early_cancellations\"", ""},
     {PoolUnsettled, "banyanlock_pool_unsettled_total", "", "Submissions and cancellations whose outcome the store did not tell in time."},
     {PoolRunsRecorded, "banyanlock_pool_runs_total", "event=\"recorded\"", "Runs of tasks, by what became of them."},
     {PoolRunsSucceeded, "banyanlock_pool_runs_total", "event=\"succeeded\"", ""},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -100,6 +100,8 @@
     PoolRefusedQueue,
     PoolRefusedMalformed,
     PoolRefusedOwnerBehind,
+    PoolRefusedCancelledBefore,
+    PoolRefusedEarlyCancellations,
     PoolUnsettled,
     PoolRunsRecorded,
     PoolRunsSucceeded,
--- a/src/pool/GraphTable.cpp
+++ b/src/pool/GraphTable.cpp
@@ -89,6 +89,9 @@
 
 std::string GraphTable::adopt(const TableRow &row, bool ownsProgress)
 {
+    if (m_earlyCancellations.adopt(row)) {
+        return {};
+    }
     if (const auto continuation = PoolRows::continuationIn(row.key)) {
         if (!ownsProgress) { // the owner has written it, and knows the units
             adoptContinuation(row, continuation->first, continuation->second);
@@ -153,6 +156,7 @@
     m_open.clear();
     m_cancelledOpen.clear();
     m_ended.clear();
+    m_earlyCancellations.clear();
 }
 
 bool GraphTable::decodeUnits(GraphRecord &record)
--- a/src/pool/GraphTable.h
+++ b/src/pool/GraphTable.h
@@ -2,6 +2,7 @@
 
 #include "core/TableTypes.h"
 #include "graph/GraphRecord.h"
+#include "pool/EarlyCancellations.h"
 
 #include <cstdint>
 #include <map>
@@ -73,6 +74,12 @@
         m_records.erase(id);
     }
 
+    /// @return The recorded cancellations of jobs that did not exist.
+    EarlyCancellations &earlyCancellations()
+    {
+        return m_earlyCancellations;
+    }
+
     /// @param queue Name of a queue.
     /// @return Number of accepted jobs of the queue of which no task has started.
     std::uint32_t countPending(const std::string &queue) const;
@@ -87,6 +94,7 @@
     std::map<std::string, GraphRecord *> m_open;
     std::set<std::string> m_cancelledOpen;
     std::set<std::string> m_ended;
+    EarlyCancellations m_earlyCancellations;
 };
 
 } // namespace banyanlock
--- a/src/pool/PoolRows.h
+++ b/src/pool/PoolRows.h
@@ -28,6 +28,8 @@
     static constexpr std::string_view continuationPrefix
         = "units/"; ///< Continuation rows of progress that exceeds one row, by job and number; see `ContinuationRow`.
     static constexpr std::string_view cancelPrefix = "cancel/"; ///< Rows that mark cancelled jobs, by job.
+    static constexpr std::string_view earlyCancelPrefix
+        = "early-cancel/"; ///< Rows that bar the submission of jobs whose cancellation came first; see `EarlyCancellations`.
     static constexpr std::string_view workerPrefix = "worker/"; ///< Rows of registered agents, by RPC address.
 
     /// @param prefix Prefix of the kind of row.
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -136,6 +136,8 @@
     m_endedSince.clear();
     m_erasedJobs.clear();
     m_erasedAgents.clear();
+    m_earlyCancellations.clear();
+    m_erasedEarlyCancellations.clear();
     m_calls.clear();
     m_batchInFlight = false;
 }
@@ -230,6 +232,7 @@
         }
         m_erasedJobs.push_back(id);
     }
+    addEarlyCancellationErasures(batch, room, now);
     for (const auto &[agent, worker] : m_workers) {
         if (worker.members.empty() && now - std::max(worker.statusReceivedAt, m_ownedAt) > m_timing.retentionPeriod && room > 0) {
             --room;
@@ -239,8 +242,32 @@
     }
 }
 
+void PoolScheduler::addEarlyCancellationErasures(PoolBatch &batch, std::size_t &room, TimePoint now)
+{
+    const std::map<std::string, std::uint64_t> &rows = m_jobs.earlyCancellations().versions();
+    std::erase_if(m_earlyCancellations, [&](const auto &entry) {
+        return !rows.contains(entry.first);
+    });
+    const std::string table(PoolRows::table);
+    for (const auto &[key, version] : rows) {
+        NoticedRow &noticed = m_earlyCancellations[key];
+        if (noticed.version != version) {
+            noticed = {version, now}; // recorded anew by a repeated cancellation
+        }
+        constexpr std::size_t entries = 2;
+        if (now - noticed.since < m_timing.retentionPeriod || room < entries) {
+            continue;
+        }
+        room -= entries;
+        batch.checks.push_back({table, key, version}); // a repeated cancellation may be on its way to this entry
+        batch.writes.push_back({table, key, std::nullopt});
+        m_erasedEarlyCancellations.push_back(key);
+    }
+}
+
 void PoolScheduler::removeErased()
 {
+    m_erasedEarlyCancellations.clear(); // the change feed removes them
     for (const std::string &id : std::exchange(m_erasedJobs, {})) {
         m_jobs.erase(id);
         m_endedSince.erase(id);
@@ -450,6 +477,9 @@
     m_endsInBatch.clear();
     m_erasedJobs.clear();
     m_erasedAgents.clear();
+    for (const std::string &key : std::exchange(m_erasedEarlyCancellations, {})) {
+        m_earlyCancellations.erase(key); // another retention period: a row whose check fails must not hold up the batches
+    }
     for (const auto &[id, written] : std::exchange(m_batchJobs, {})) {
         const GraphRecord *job = m_jobs.find(id);
         BANYANLOCK_ASSERT(job != nullptr);
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -261,6 +261,7 @@
     bool isStillAllowed(const ActiveUnit &unit) const;
     void withdraw(const UnitId &id);
     void addErasures(PoolBatch &batch, TimePoint now);
+    void addEarlyCancellationErasures(PoolBatch &batch, std::size_t &room, TimePoint now);
     void removeErased();
 
     // PoolMembers.cpp: reports of workers on members of units
@@ -414,6 +415,13 @@
                                                      // worker with a good record
     std::map<std::string, TimePoint> m_endedSince; // ended jobs, with the time at which this owner first noticed the end
     std::vector<std::string> m_erasedJobs; // jobs whose rows the batch in flight erases
+    /// Version of the row of an early cancellation, and when this owner first noticed it.
+    struct NoticedRow {
+        std::uint64_t version = 0;
+        TimePoint since{};
+    };
+    std::map<std::string, NoticedRow> m_earlyCancellations; // by key
+    std::vector<std::string> m_erasedEarlyCancellations; // keys of the rows that the batch in flight erases
     std::vector<std::string> m_erasedAgents; // agents whose rows the batch in flight erases
     std::vector<CallAgent> m_calls;
     TimePoint m_ownedAt{};
--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -21,6 +21,9 @@
 /// The transaction that records a submission also checks the row version of the configuration that authorized it, so a removed key or
 /// queue never admits a job. States and counts come from this entry's mirror of the rows. After a suspension of the process they wait until
 /// the mirror has caught up, so that a job that other entries show as ended is not shown as running again.
+///
+/// A cancellation that finds no job is recorded too, under a check that there is none, and each submission checks that it was not
+/// cancelled before. So the answer that no such job exists remains true for submissions of which a copy is still on its way.
 /// @tparam Platform Adapter of the platform.
 template <PoolCorePlatform Platform> class PoolApi
 {
@@ -73,6 +76,7 @@
     static constexpr Duration storeSilenceLimit
         = fromMilliseconds(900); // without any answer of the table service; a caller waits 3 s, so two more attempts remain
     static constexpr Duration retryAfterOutage = fromMilliseconds(1000); // smallest non-zero value of the Retry-After header
+    static constexpr Duration retryAfterFullTable = fromMilliseconds(60000); // a tenth of the period after which rows are erased
     static constexpr int maxConfigurationChanges = 5; // during one submission
     static constexpr Duration maxMirrorWait
         = fromMilliseconds(600); // a request to the change feed that was interrupted is repeated within 200 ms; a caller waits 3 s
@@ -85,6 +89,7 @@
         std::string job;
         std::string queue;
         std::string workspace;
+        std::string earlyCancelKey; // of the row that records a cancellation before the submission
         GraphRecord record;
         int configurationChanges = 0;
     };
@@ -125,8 +130,9 @@
 
     static const char *outcomeName(CallOutcome outcome)
     {
-        static constexpr std::array<const char *, 10> names{"accepted",  "answered",  "no_such_job",       "no_such_queue", "key_refused",
-                                                            "malformed", "not_ready", "store_unavailable", "overloaded",    "unsettled"};
+        static constexpr std::array<const char *, 11> names{"accepted",    "answered",         "no_such_job", "no_such_queue",
+                                                            "key_refused", "malformed",        "not_ready",   "store_unavailable",
+                                                            "overloaded",  "cancelled_before", "unsettled"};
         return names[static_cast<std::size_t>(outcome)];
     }
 
@@ -156,6 +162,7 @@
         exchange->queue = queue->name;
         exchange->workspace = workspace == nullptr ? "" : workspace->name;
         exchange->job = exchange->call.path.substr(queue->pathPrefix.size());
+        exchange->earlyCancelKey = earlyCancellationKey({queue->host, queue->pathPrefix, exchange->workspace}, exchange->job);
         switch (exchange->call.kind) {
         case CallKind::Submit:
             submit(exchange, *queue);
@@ -226,8 +233,9 @@
         const OperatorRows operatorRows = Platform::operatorRows();
         TableTransaction transaction;
         transaction.changeId = "submit/" + exchange->job;
-        transaction.checks
-            = {{table, specKey, 0}, {operatorRows.table, operatorRows.configurationKey, m_mirror.operators().configurationRowVersion}};
+        transaction.checks = {{table, specKey, 0},
+                              {table, exchange->earlyCancelKey, 0},
+                              {operatorRows.table, operatorRows.configurationKey, m_mirror.operators().configurationRowVersion}};
         const std::string progressText = encodeGraphProgress(exchange->record.progress);
         transaction.writes = {{table, specKey, specText}, {table, progressKey, progressText}};
         commit(exchange, std::move(transaction),
@@ -246,12 +254,12 @@
     void onConflict(const ExchangePointer &exchange, const CommitResult &result, const std::string &specKey, bool repeated)
     {
         m_mirror.adopt(result.rows);
-        const bool exists = std::ranges::any_of(result.rows, [&](const TableRow &row) {
-            return row.key == specKey && !row.erased;
-        });
-        if (exists) {
+        if (findRow(result, specKey) != nullptr) {
             m_counters.add(repeated ? Counter::PoolJobsAccepted : Counter::PoolJobsRepeated);
             accept(exchange);
+        } else if (findRow(result, exchange->earlyCancelKey) != nullptr) {
+            refuse(exchange, CallOutcome::CancelledBefore, "the job was cancelled before it arrived", Counter::PoolRefusedCancelledBefore,
+                   PoolTiming().retentionPeriod);
         } else if (++exchange->configurationChanges < maxConfigurationChanges) {
             process(exchange); // the configuration changed in between: validate against the new one
         } else {
@@ -259,6 +267,14 @@
         }
     }
 
+    static const TableRow *findRow(const CommitResult &result, const std::string &key)
+    {
+        const auto found = std::ranges::find_if(result.rows, [&](const TableRow &row) {
+            return row.key == key && !row.erased;
+        });
+        return found == result.rows.end() ? nullptr : &*found;
+    }
+
     void accept(const ExchangePointer &exchange)
     {
         CallAnswer accepted;
@@ -332,9 +348,13 @@
             return;
         }
         if (!PoolRows::isJobId(exchange->job)) {
-            CallAnswer unknown;
-            unknown.outcome = CallOutcome::NoSuchJob;
-            answer(exchange, std::move(unknown));
+            answerUnknown(exchange);
+            return;
+        }
+        const bool isCancellation = exchange->call.kind == CallKind::Cancel;
+        const bool isFull = m_mirror.jobs().earlyCancellations().isFull(exchange->workspace);
+        if (isCancellation && !isFull) {
+            recordEarlyCancellation(exchange);
             return;
         }
         // Another entry may have accepted the job after the last update of the mirror.
@@ -344,13 +364,44 @@
                 refuse(exchange, CallOutcome::StoreUnavailable, "table service is not available", Counter::PoolRefusedStore);
                 return;
             }
-            if (!spec.row) {
-                CallAnswer unknown;
-                unknown.outcome = CallOutcome::NoSuchJob;
-                answer(exchange, std::move(unknown));
-                return;
+            if (spec.row) {
+                readProgress(exchange, *spec.row);
+            } else if (exchange->call.kind == CallKind::Cancel) {
+                // Without a row the answer that no such job exists might become false.
+                refuse(exchange, CallOutcome::Overloaded, "too many cancellations of unknown jobs of this workspace",
+                       Counter::PoolRefusedEarlyCancellations, retryAfterFullTable);
+            } else {
+                answerUnknown(exchange);
+            }
+        });
+    }
+
+    void answerUnknown(const ExchangePointer &exchange)
+    {
+        CallAnswer unknown;
+        unknown.outcome = CallOutcome::NoSuchJob;
+        answer(exchange, std::move(unknown));
+    }
+
+    /// Records the cancellation of a job that is unknown here, unless the job exists.
+    void recordEarlyCancellation(const ExchangePointer &exchange)
+    {
+        const std::string table(PoolRows::table);
+        const std::string specKey = PoolRows::keyOf(PoolRows::specPrefix, exchange->job);
+        const std::string text = encodeEarlyCancellation(exchange->workspace);
+        TableTransaction transaction;
+        transaction.changeId = "early-cancel/" + exchange->job;
+        transaction.checks = {{table, specKey, 0}};
+        transaction.writes = {{table, exchange->earlyCancelKey, text}};
+        commit(exchange, std::move(transaction), [this, exchange, table, specKey, text](const CommitResult &result, bool) {
+            if (result.state == CommitState::Committed) {
+                m_mirror.adopt({{table, exchange->earlyCancelKey, result.version, text, false}});
+                answerUnknown(exchange);
+            } else if (const TableRow *spec = findRow(result, specKey)) {
+                readProgress(exchange, *spec); // another entry has accepted the job
+            } else {
+                refuse(exchange, CallOutcome::StoreUnavailable, "the job's rows have changed meanwhile", Counter::PoolRefusedStore);
             }
-            readProgress(exchange, *spec.row);
         });
     }
 
--- a/src/poolhost/PoolMirror.h
+++ b/src/poolhost/PoolMirror.h
@@ -268,6 +268,8 @@
             recordAvailability(followed, true);
             if (&followed == &m_operatorTable) {
                 m_operators.outDomains.clear(); // a full read does not list erased rows
+            } else {
+                m_jobs.earlyCancellations().clear();
             }
             adopt(result.rows);
             if (&followed == &m_poolTable && m_ownerVersion != 0
--- a/src/poolhost/PoolPlatform.h
+++ b/src/poolhost/PoolPlatform.h
@@ -80,6 +80,7 @@
     NotReady, ///< The configuration is missing or stale; nothing was done.
     StoreUnavailable, ///< The table service could not be reached; nothing was done.
     Overloaded, ///< The pool is too far behind to serve the job in its time; nothing was done.
+    CancelledBefore, ///< The job was cancelled before its submission arrived; it was not accepted and never runs.
     Unsettled, ///< The table service did not confirm the outcome in time; the change may have been made.
 };
 
--- a/standins/RunChecks.cpp
+++ b/standins/RunChecks.cpp
@@ -40,6 +40,9 @@
             violate("nobody asked for: " + describe(run));
             return;
         }
+        if (m_absentJobs.contains(run.task.job)) {
+            violate("started after its cancellation was answered with its absence: " + describe(run));
+        }
         const GraphSpec &spec = m_specs.at(run.task.job);
         if (m_doneTasks.contains(run.task) && !spec.steps[run.task.step].longRunning) { // those are restarted however they end
             violateByStart(run, "started after its end was acknowledged: " + describe(run));
--- a/standins/RunChecks.h
+++ b/standins/RunChecks.h
@@ -28,6 +28,13 @@
     /// @param spec What it asks for.
     void addJob(const std::string &job, const GraphSpec &spec);
 
+    /// Notes that a caller was told that a job does not exist and never will under this submission.
+    /// @param job Id of the job.
+    void addAbsence(const std::string &job)
+    {
+        m_absentJobs.insert(job);
+    }
+
     /// @return An observer for a worker model.
     PoolWorkerModel::Observer makeObserver();
 
@@ -76,6 +83,7 @@
     std::set<TaskName> m_succeeded; // ended well
     std::set<TaskName> m_doneTasks; // ended well, and the end was acknowledged before the lease had lapsed
     std::set<TaskName> m_startedBeforeContact;
+    std::set<std::string> m_absentJobs;
     std::vector<std::string> m_violations;
     std::uint32_t m_stops = 0;
 };
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -65,6 +65,7 @@
     }
     constexpr std::int64_t guaranteed = 16;
     configuration.workspaces.push_back({"workspace", json.at("keys").get<std::vector<std::string>>(), guaranteed});
+    configuration.workspaces.push_back({"other-workspace", {"other-key"}, 0});
     return configuration;
 }
 
@@ -267,15 +268,29 @@
 void PoolWorld::call(PoolCall call, const std::string &job, std::size_t entry)
 {
     call.host = "host";
-    call.key = "key";
+    call.key = call.key.value_or("key");
     Entry *target = m_entries[entry].get();
     target->loop.after(Duration::zero(), [this, target, call = std::move(call), job] {
-        target->api.handle(call, [this, job](const CallAnswer &answer) {
+        target->api.handle(call, [this, call, job](const CallAnswer &answer) {
             m_answers[job] = answer;
+            if (answer.outcome == CallOutcome::NoSuchJob) {
+                noteAbsence(call, job);
+            }
         });
     });
 }
 
+void PoolWorld::noteAbsence(const PoolCall &call, const std::string &job)
+{
+    if (call.kind != CallKind::Cancel || call.key != "key") {
+        return;
+    }
+    m_absentPaths.insert(call.path);
+    if (const auto submitted = m_submittedPaths.find(job); submitted != m_submittedPaths.end() && submitted->second == call.path) {
+        m_checks.addAbsence(job);
+    }
+}
+
 void PoolWorld::submit(const std::string &job, const GraphSpec &spec, const std::string &queue, std::size_t entry)
 {
     m_checks.addJob(job, spec);
@@ -284,15 +299,29 @@
     PoolCall submission;
     submission.kind = CallKind::Submit;
     submission.path = "/" + queue + "/" + job;
+    m_submittedPaths[job] = submission.path;
+    if (m_absentPaths.contains(submission.path)) {
+        m_checks.addAbsence(job);
+    }
     submission.body = encodeGraphSpec(record);
     call(std::move(submission), job, entry);
 }
 
 void PoolWorld::cancel(const std::string &job, std::size_t entry)
+{
+    const auto submitted = m_submittedPaths.find(job);
+    PoolCall cancellation;
+    cancellation.kind = CallKind::Cancel;
+    cancellation.path = submitted == m_submittedPaths.end() ? "/normal/" + job : submitted->second;
+    call(std::move(cancellation), job, entry);
+}
+
+void PoolWorld::cancelAs(const std::string &job, const std::string &queue, const std::string &key, std::size_t entry)
 {
     PoolCall cancellation;
     cancellation.kind = CallKind::Cancel;
-    cancellation.path = "/normal/" + job;
+    cancellation.path = "/" + queue + "/" + job;
+    cancellation.key = key;
     call(std::move(cancellation), job, entry);
 }
 
@@ -336,6 +365,11 @@
     m_entries[entry]->store.setUnresponsive(unresponsive);
 }
 
+void PoolWorld::setTransactionsHeldUp(std::size_t entry, bool heldUp)
+{
+    m_entries[entry]->store.setHeldUp(heldUp);
+}
+
 void PoolWorld::partitionEntryFromAgents(std::size_t entry, bool partitioned)
 {
     m_entries[entry]->partitionedFromAgents = partitioned;
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -57,6 +57,9 @@
         m_unresponsive = unresponsive;
     }
 
+    /// @param heldUp Whether transactions are held up on their way. They take effect in order when they no longer are.
+    void setHeldUp(bool heldUp);
+
     /// Drops all answers in flight, since the process has ended.
     void terminate()
     {
@@ -80,6 +83,8 @@
     Random *m_random;
     bool m_partitioned = false;
     bool m_unresponsive = false;
+    bool m_heldUp = false;
+    std::vector<TableTransaction> m_heldTransactions;
     std::shared_ptr<bool> m_alive = std::make_shared<bool>(true);
 };
 
@@ -128,7 +133,12 @@
     /// @param queue Name of the queue: `urgent` (priority 0), `normal` (1) or `bulk` (2).
     /// @param entry Index of the entry.
     void submit(const std::string &job, const GraphSpec &spec, const std::string &queue, std::size_t entry = 0);
+
+    /// Cancels a job in the queue that it was last submitted to, or in `normal`; `answerFor` returns the answer.
     void cancel(const std::string &job, std::size_t entry = 0);
+
+    /// Cancels a job in a given queue with a given key; `answerFor` returns the answer.
+    void cancelAs(const std::string &job, const std::string &queue, const std::string &key, std::size_t entry = 0);
     void queryState(const std::string &job, std::size_t entry = 0);
 
     /// @return Newest answer to a submission, cancellation or state query of a job.
@@ -154,6 +164,7 @@
     void restartEntry(std::size_t entry);
     void partitionEntryFromStore(std::size_t entry, bool partitioned);
     void setStoreUnresponsive(std::size_t entry, bool unresponsive);
+    void setTransactionsHeldUp(std::size_t entry, bool heldUp);
     void partitionEntryFromAgents(std::size_t entry, bool partitioned);
     void freezeEntry(std::size_t entry, bool frozen);
     void freezeAgent(std::size_t worker, bool frozen);
@@ -265,7 +276,11 @@
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::list<std::unique_ptr<Entry>> m_killedEntries; // kept, since pending callbacks still refer to them
     std::vector<std::unique_ptr<Agent>> m_agents;
+    void noteAbsence(const PoolCall &call, const std::string &job);
+
     std::map<std::string, CallAnswer> m_answers;
+    std::map<std::string, std::string> m_submittedPaths; // by job
+    std::set<std::string> m_absentPaths; // where a cancellation with the submitters' key was answered with `NoSuchJob`
     std::vector<std::string> m_keys{"key"};
     std::uint64_t m_configurationVersion = 0;
     std::uint64_t m_replacements = 0; // workers replaced so far
--- a/tests/pool/VirtualStore.cpp
+++ b/tests/pool/VirtualStore.cpp
@@ -50,7 +50,10 @@
 void VirtualStore::commit(const TableTransaction &transaction, std::function<void(CommitResult)> callback)
 {
     schedule(delay(), [this, transaction, callback = std::move(callback)] {
-        if (m_unresponsive) {
+        if (m_heldUp) {
+            m_heldTransactions.push_back(transaction);
+        }
+        if (m_unresponsive || m_heldUp) {
             schedule(transactionTimeout, [callback] {
                 callback(CommitResult());
             });
@@ -85,6 +88,16 @@
     });
 }
 
+void VirtualStore::setHeldUp(bool heldUp)
+{
+    m_heldUp = heldUp;
+    if (!heldUp) {
+        for (const TableTransaction &transaction : std::exchange(m_heldTransactions, {})) {
+            m_tableService->commit(transaction);
+        }
+    }
+}
+
 void VirtualStore::commitQueued(const TableTransaction &transaction, const std::function<void(CommitResult)> &callback)
 {
     constexpr Duration maxQueueDelay = fromMilliseconds(1000);
