Count a silent worker's lease without the suspensions of its instance

That clock goes on while the instance is suspended, and the worker's, by which the lease ends, does not. So the owner could start the tasks elsewhere while they had yet to end here.

The agent compares the boot clock with the running time of the instance and adds each suspension (instance_suspended in its log) to the end of the lease. The virtual world can suspend an instance: its worker stands still, clock included, and answers nothing meanwhile.

--- a/src/core/Time.h
+++ b/src/core/Time.h
@@ -36,6 +36,15 @@
     }
 };
 
+/// @return Time for which the instance has been running, without suspensions: the difference to `MonotonicClock` grows with each
+/// suspension.
+inline Duration runningTime()
+{
+    timespec time{};
+    clock_gettime(CLOCK_MONOTONIC, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec));
+}
+
 /// Point in time of the monotonic clock.
 using TimePoint = MonotonicClock::time_point;
 
--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -229,6 +229,12 @@
     }
 }
 
+void WorkerSupervisor::onSuspended(Duration span)
+{
+    Log::warning("instance_suspended", {{"span_ms", toMilliseconds(span)}});
+    m_leaseSentAt += span;
+}
+
 void WorkerSupervisor::sendRenewal(TimePoint now)
 {
     if (!m_worker || m_epoch == 0 || m_fence == 0 || now < m_nextRenewal) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -170,6 +170,10 @@
     /// @param now Current time.
     void onStopped(const StopTask &action, OrderOutcome outcome, TimePoint now);
 
+    /// Handles a suspension of the instance, during which the worker's clock stood still.
+    /// @param span Length of the suspension.
+    void onSuspended(Duration span);
+
     /// Sends the renewals and stops that are due and detects a silent worker.
     /// @param now Current time.
     void step(TimePoint now);
--- a/src/poolhost/PoolAgentDaemon.h
+++ b/src/poolhost/PoolAgentDaemon.h
@@ -155,6 +155,7 @@
     void flush()
     {
         const TimePoint now = EventLoop::now();
+        detectSuspension(now);
         registerAgent(now);
         m_supervisor.step(now);
         for (SupervisorAction &action : m_supervisor.takeActions()) {
@@ -168,6 +169,16 @@
         armTimer(now);
     }
 
+    void detectSuspension(TimePoint now)
+    {
+        constexpr Duration minSpan = fromMilliseconds(50); // the clocks are not read at the same moment
+        const Duration suspended = now.time_since_epoch() - runningTime();
+        if (suspended - m_suspended >= minSpan) {
+            m_supervisor.onSuspended(suspended - m_suspended);
+            m_suspended = suspended;
+        }
+    }
+
     void answerPendingCalls(TimePoint now)
     {
         if (m_pendingCalls.empty()) {
@@ -247,6 +258,7 @@
     std::list<PendingCall> m_pendingCalls;
     TimerId m_timer;
     TimePoint m_armedFor{};
+    Duration m_suspended = MonotonicClock::now().time_since_epoch() - runningTime(); // all suspensions of the instance so far
     TimePoint m_registerAfter{};
     bool m_registering = false;
     bool m_stopping = false;
--- a/standins/PoolWorkerModel.cpp
+++ b/standins/PoolWorkerModel.cpp
@@ -56,8 +56,29 @@
     m_observer.onEnd(run, ending, *this);
 }
 
+void PoolWorkerModel::suspend(TimePoint now)
+{
+    advance(now);
+    m_suspendedAt = now;
+}
+
+Duration PoolWorkerModel::resume(TimePoint now)
+{
+    const Duration span = now - m_suspendedAt.value_or(now);
+    m_suspendedAt.reset();
+    m_bornAt += span;
+    for (auto &[run, state] : m_running) {
+        state.startedAt += span;
+        state.workedUntil += span;
+    }
+    return span;
+}
+
 void PoolWorkerModel::advance(TimePoint now)
 {
+    if (m_suspendedAt) {
+        return;
+    }
     const std::map<RunName, Run> before = m_running;
     if (!before.empty() && clock(now) > m_leaseEnd) {
         for (const auto &[run, state] : before) {
@@ -196,6 +217,7 @@
     m_hasContact = false;
     m_leaseEnd = {};
     m_bornAt = now;
+    m_suspendedAt.reset();
     m_announcement.incarnation.startedUnixMilliseconds += 1;
     m_announcement.sequence = 0;
     m_announcement.draining = false;
--- a/standins/PoolWorkerModel.h
+++ b/standins/PoolWorkerModel.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -71,6 +72,21 @@
     /// @param now Current time.
     void replace(const std::string &id, TimePoint now);
 
+    /// Suspends the worker: its clock stands still, and nothing works. It must get no calls until it is resumed.
+    /// @param now Current time.
+    void suspend(TimePoint now);
+
+    /// Ends a suspension.
+    /// @param now Current time.
+    /// @return Length of the suspension.
+    Duration resume(TimePoint now);
+
+    /// @return Whether the worker is suspended.
+    bool isSuspended() const
+    {
+        return m_suspendedAt.has_value();
+    }
+
     /// @param rate Rate of the worker's clock; 1 for an exact one.
     void setClockRate(double rate)
     {
@@ -191,7 +207,8 @@
     std::uint64_t m_fence = 0;
     bool m_hasContact = false;
     Duration m_leaseEnd{};
-    TimePoint m_bornAt{};
+    TimePoint m_bornAt{}; // later by the time for which it has been suspended
+    std::optional<TimePoint> m_suspendedAt;
     std::size_t m_maxListedEnds = maxListedEnds;
     std::uint64_t m_truncatedLists = 0;
     double m_slowness = 1.0;
--- a/tests/pool/PoolWorld.cpp
+++ b/tests/pool/PoolWorld.cpp
@@ -121,7 +121,7 @@
     });
     m_network.repeat(fromMilliseconds(1000), [this](TimePoint) {
         for (const std::unique_ptr<Agent> &agent : m_agents) {
-            if (!agent->removed && !agent->partitionedFromWorker && !agent->crashed) {
+            if (!agent->removed && !agent->partitionedFromWorker && !agent->crashed && !agent->worker->isSuspended()) {
                 announce(*agent);
             }
         }
@@ -385,6 +385,18 @@
     m_agents[worker]->loop->setFrozen(frozen);
 }
 
+void PoolWorld::suspendInstance(std::size_t worker)
+{
+    freezeAgent(worker, true);
+    m_agents[worker]->worker->suspend(m_now);
+}
+
+void PoolWorld::resumeInstance(std::size_t worker)
+{
+    freezeAgent(worker, false);
+    m_agents[worker]->supervisor->onSuspended(m_agents[worker]->worker->resume(m_now));
+}
+
 void PoolWorld::restartAgent(std::size_t worker)
 {
     makeAgent(worker);
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -169,6 +169,9 @@
     void freezeEntry(std::size_t entry, bool frozen);
     void freezeAgent(std::size_t worker, bool frozen);
     void restartAgent(std::size_t worker);
+    /// Suspends an agent's instance with its worker, whose clock stands still meanwhile.
+    void suspendInstance(std::size_t worker);
+    void resumeInstance(std::size_t worker);
     void removeInstance(std::size_t worker);
     void crashWorker(std::size_t worker);
     void replaceWorker(std::size_t worker);
@@ -253,6 +256,8 @@
     void deliver(Agent &agent, std::uint64_t generation, const SuperviseRequest &request, std::function<void(WorkerStatus)> reply);
     static WorkerIncarnation receivingIncarnation(const Agent &agent, const WorkerIncarnation &intended);
     void execute(Agent &agent, const SupervisorAction &action);
+    /// Runs an event at a worker once it is not suspended.
+    void whenAwake(const Agent &agent, const std::function<void()> &event);
     void registerAgent(Agent &agent);
     void sendLists(Agent &agent, std::uint64_t generation, const RenewWorker &action, const RenewalAnswer &answer, Duration delay);
     void answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
--- a/tests/pool/PoolWorldMessages.cpp
+++ b/tests/pool/PoolWorldMessages.cpp
@@ -155,10 +155,27 @@
     });
 }
 
+void PoolWorld::whenAwake(const Agent &agent, const std::function<void()> &event)
+{
+    if (!agent.worker->isSuspended()) {
+        event();
+        return;
+    }
+    m_network.after(fromMilliseconds(1), [this, &agent, event] {
+        whenAwake(agent, event);
+    });
+}
+
 void PoolWorld::answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
                               TimePoint deadline)
 {
     Agent &agent = *m_agents[index];
+    if (agent.worker->isSuspended()) {
+        whenAwake(agent, [this, index, generation, action, received, deadline] {
+            answerRenewal(index, generation, action, received, deadline);
+        });
+        return;
+    }
     if (agent.partitionedFromWorker) {
         m_network.after(renewalTimeout, [&agent, generation, action, this] {
             sendLists(agent, generation, action, RenewalAnswer(), Duration::zero());
@@ -201,9 +218,11 @@
         if (m_options.lateRenewalRate > 0.0 && !agent.partitionedFromWorker && !agent.crashed
             && m_random.chance(m_options.lateRenewalRate)) {
             m_network.after(fromMilliseconds(2000 + m_random.below(8000)), [this, &agent, received] {
-                if (!agent.removed) {
-                    agent.worker->renew(received, m_now);
-                }
+                whenAwake(agent, [this, &agent, received] {
+                    if (!agent.removed) {
+                        agent.worker->renew(received, m_now);
+                    }
+                });
             });
             sendLists(agent, generation, *renewal, RenewalAnswer(), renewal->wait + renewalTimeout);
             return;
@@ -234,7 +253,7 @@
         }
         StartTask received = *start;
         received.incarnation = receivingIncarnation(agent, start->incarnation);
-        m_network.after(transitTime, [this, &agent, start = *start, received = std::move(received), late, reachable, respond] {
+        const auto arrive = [this, &agent, start = *start, received = std::move(received), late, reachable, respond] {
             if (!reachable || agent.removed) {
                 return;
             }
@@ -244,6 +263,9 @@
                     supervisor.onStarted(start, outcome, reason, m_now);
                 });
             }
+        };
+        m_network.after(transitTime, [this, &agent, arrive] {
+            whenAwake(agent, arrive);
         });
     } else if (const StopTask *stop = std::get_if<StopTask>(&action)) {
         if (late) {
@@ -252,7 +274,7 @@
             });
         }
         const StopTask received{stop->run, receivingIncarnation(agent, stop->incarnation), stop->fence};
-        m_network.after(transitTime, [this, &agent, stop = *stop, received, late, reachable, respond] {
+        const auto arrive = [this, &agent, stop = *stop, received, late, reachable, respond] {
             if (!reachable || agent.removed) {
                 return;
             }
@@ -262,6 +284,9 @@
                     supervisor.onStopped(stop, outcome, m_now);
                 });
             }
+        };
+        m_network.after(transitTime, [this, &agent, arrive] {
+            whenAwake(agent, arrive);
         });
     }
 }
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -286,6 +286,29 @@
     }
 }
 
+// Two runs of a task: the agent took the lease of a silent worker for expired although the worker's clock had stood still.
+BOOST_AUTO_TEST_CASE(leaseOfASilentWorkerLastsLongerByASuspension)
+{
+    answerWithEmptyLists();
+    supervisor.step(now); // renews the lease
+    supervisor.takeActions();
+    const SupervisorTiming timing;
+    const TimePoint renewed = now;
+    constexpr Duration suspension = fromMilliseconds(4000);
+    now += suspension;
+    supervisor.onSuspended(suspension);
+    const auto hasExpired = [&] {
+        supervisor.step(now);
+        supervisor.takeActions();
+        return supervisor.status(now, 0).leaseExpired;
+    };
+    for (; now < renewed + timing.lease + suspension; now += fromMilliseconds(100)) {
+        BOOST_TEST(!hasExpired());
+    }
+    now += timing.leaseSlack + fromMilliseconds(1);
+    BOOST_TEST(hasExpired());
+}
+
 BOOST_AUTO_TEST_CASE(unansweredStartIsKeptUntilWorkerClockHasPassedItsDeadline)
 {
     // The worker's clock may be behind the agent's estimate after a suspension.
