Wait for the longest suspension before tasks of an unreachable worker run elsewhere

Cause: the worker's clock, by which its lease ends, stands still while its instance is suspended; the owner's clock goes on, and its wait allowed for a slow clock only. No action at the instance can end the tasks of a machine that is still asleep when the wait ends.

The owner's wait now includes the longest suspension within a lease (setting suspension_ms, 4 s). A part is won back: the agent counts a lease from the sending of its renewal, no longer from its receipt up to 1 s later, and the owner does not repeat an unanswered renewal before the agent has answered, which had put the wait off by up to 1.9 s. An agent that does not answer is asked without waiting.

--- a/src/pool/PoolCalls.cpp
+++ b/src/pool/PoolCalls.cpp
@@ -53,14 +53,15 @@
     request.epoch = m_epoch;
     request.services = namedServices();
     if (worker.known) {
-        request.validUntil = worker.agentClock(now) + m_timing.callValidity;
-        request.renews = m_renewalsAllowed && worker.status.runsKnown && !isSilent(worker, now);
+        request.validUntil = worker.agentClock(now) + callValidity;
+        // Whether an unanswered renewal took effect is unknown, so further ones would put off the end of a lost worker's runs.
+        request.renews = m_renewalsAllowed && worker.status.runsKnown && !worker.callUnanswered && !isSilent(worker, now);
         request.knownIncarnation = worker.status.agentIncarnation;
         request.knownStatus = worker.status.number;
         request.acknowledgedIncarnation = worker.status.worker.incarnation;
         request.acknowledgedEnd = worker.recordedEnd;
         request.workerFence = worker.fencedIncarnation == worker.status.worker.incarnation ? worker.workerFence : 0;
-        request.wait = waits ? pollWait() : Duration();
+        request.wait = waits && !worker.callUnanswered ? pollWait() : Duration();
         if (!worker.orders.empty()) {
             request.orders = std::exchange(worker.orders, {});
             request.batch = ++worker.batch; // calls without orders have no batch number: they may overtake the call that carries the batch
--- a/src/pool/PoolMembers.cpp
+++ b/src/pool/PoolMembers.cpp
@@ -71,6 +71,7 @@
         worker.nextPoll = status == nullptr ? now + (isSilent(worker, now) ? m_timing.minPollWait : m_timing.retryInterval) : now;
     }
     m_changed = true;
+    worker.callUnanswered = status == nullptr;
     if (status == nullptr) {
         return;
     }
@@ -350,7 +351,7 @@
         // An agent that does not know the worker's runs gets no renewals. A silent agent may have received renewals that it did not
         // answer.
         const TimePoint renewed = silent ? std::max(worker.lastRenewalSent, worker.statusReceivedAt) : worker.lastRenewalSent;
-        const TimePoint leaseEnd = renewed + m_timing.callValidity + m_timing.lease + m_timing.leaseSlack;
+        const TimePoint leaseEnd = renewed + m_timing.lease + m_timing.leaseSlack + m_timing.maxSuspension;
         for (const PlacedMember &placed : worker.members) {
             ActiveMember &member = *placed.member;
             if (placed.unit->phase != UnitPhase::Started || member.ending || now <= leaseEnd
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -36,7 +36,8 @@
 struct PoolTiming {
     Duration lease = fromMilliseconds(6000); ///< Lease duration of the workers' tasks; from the settings.
     Duration leaseSlack = fromMilliseconds(320); ///< Margin for a worker's clock that runs up to 2 % slow and for late timers.
-    Duration callValidity = fromMilliseconds(1000); ///< Time after which an agent ignores the orders and the renewal of a call.
+    Duration maxSuspension = fromMilliseconds(4000); ///< Longest time for which a worker's instance may be suspended within a lease; the
+                                                     ///< worker's clock stands still meanwhile. From the settings.
     Duration startTimeout = fromMilliseconds(1500); ///< Time after which a worker refuses a start; well below the bounds for draining a
                                                     ///< worker and for taking a failure domain out of service.
     Duration startExpiry
--- a/src/pool/WorkerStatus.h
+++ b/src/pool/WorkerStatus.h
@@ -120,6 +120,9 @@
     TimePoint startBy{}; ///< Start deadline, on the agent's clock.
 };
 
+/// Time after which an agent ignores the orders and the renewal of a call; a renewal counts from the time at which the call was sent.
+inline constexpr Duration callValidity = fromMilliseconds(1000);
+
 /// A call of the owner to an agent: it renews leases, acknowledges ends, carries orders and polls the status.
 struct SuperviseRequest {
     std::uint64_t epoch = 0; ///< Fencing token of the owner.
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -126,7 +126,9 @@
             m_nextRenewal = std::min(m_nextRenewal, now);
             m_pollImmediately = m_pollImmediately || m_runsKnown; // not only after the waiting request
         }
-        m_ownerContact = now;
+        // The owner counts from the time at which it sends a call. The times of a call for an earlier process may be on another clock.
+        const bool onThisClock = request.knownIncarnation == m_incarnation;
+        m_ownerContact = std::max(m_ownerContact, onThisClock ? std::min(now, request.validUntil - callValidity) : now);
         m_hasOwnerContact = true;
     }
     if (m_worker && request.acknowledgedIncarnation == m_worker->incarnation && request.acknowledgedEnd > m_acknowledgedEnd) {
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -264,7 +264,7 @@
     TimePoint m_nextQuery{};
     std::uint64_t m_epoch = 0;
     std::uint64_t m_lastOrderBatch = 0;
-    TimePoint m_ownerContact{};
+    TimePoint m_ownerContact{}; // when the owner sent the newest renewal that has arrived
     bool m_hasOwnerContact = false;
     bool m_stopping = false;
     bool m_registered = false; // and has fencing tokens left
--- a/src/poolhost/PoolEntryDaemon.h
+++ b/src/poolhost/PoolEntryDaemon.h
@@ -103,6 +103,7 @@
         PoolTiming times;
         times.lease = fromMilliseconds(settings.leaseMilliseconds);
         times.leaseSlack = leaseSlackOf(times.lease);
+        times.maxSuspension = fromMilliseconds(settings.suspensionMilliseconds);
         return times;
     }
 
--- a/src/poolhost/PoolSettings.cpp
+++ b/src/poolhost/PoolSettings.cpp
@@ -47,6 +47,9 @@
         Key{"table_url", Url, &S::tableUrl, 0, 0, true, "URL of the platform's table service."},
         Key{"log_level", Text, &S::logLevel, 0, 0, false, "`debug`, `info`, `warning` or `error`."},
         Key{"lease_ms", Milliseconds, &S::leaseMilliseconds, 1000, 60000, false, "Lease duration of the workers' tasks."},
+        Key{"suspension_ms", Milliseconds, &S::suspensionMilliseconds, 0, 60000, false,
+            "Longest time for which a worker's instance may be suspended within a lease; its clock stands still meanwhile. Tasks of an "
+            "unreachable worker are started elsewhere when lease and suspension have passed."},
         Key{"stale_limit_ms", Milliseconds, &S::staleLimitMilliseconds, 1000, 60000, false,
             "Age from which the configuration is stale and calls are refused."},
         Key{"stop_ms", Milliseconds, &S::stopMilliseconds, 500, 600000, false, "Time between the stop signal and the kill."},
--- a/src/poolhost/PoolSettings.h
+++ b/src/poolhost/PoolSettings.h
@@ -19,6 +19,7 @@
     std::string tableUrl; ///< URL of the table service.
     std::string logLevel = "info"; ///< Minimum level of log lines.
     std::int64_t leaseMilliseconds = 6000; ///< Lease duration of the workers' tasks.
+    std::int64_t suspensionMilliseconds = 4000; ///< Longest time for which a worker's instance may be suspended within a lease.
     std::int64_t staleLimitMilliseconds = 5000; ///< Age from which the configuration is stale and calls are refused.
     std::int64_t stopMilliseconds = 6000; ///< Time between the stop signal and the kill.
     std::int64_t remoteFactor = 3; ///< Slowdown factor of tasks that run away from their data.
--- a/tests/pool/RunEndTest.cpp
+++ b/tests/pool/RunEndTest.cpp
@@ -165,7 +165,7 @@
         now += fromMilliseconds(50);
     }
     const PoolTiming timing;
-    BOOST_TEST(toMilliseconds(now - acquired) >= toMilliseconds(timing.detachedLimit + timing.callValidity + timing.lease));
+    BOOST_TEST(toMilliseconds(now - acquired) >= toMilliseconds(timing.detachedLimit + callValidity + timing.lease));
     BOOST_TEST(isRunOver());
 }
 
