Stop runs at the agent once the owner's renewal has expired

The longest suspension that the owner waits for is a setting, and a suspension may be longer.

The agent now stops what it lists as running after the renewal has expired, and checks each 0.1 s once the newest renewal is half a lease old, since timers stand still during a suspension. Where the lease has ended anyway this costs nothing. An agent process without a renewal of its own stops nothing, so its restart costs no work. Log run_not_renewed, counter banyanlock_pool_runs_total{event="unrenewed"}.

tasksAreStoppedAfterASuspensionThatOutlastsTheRenewal, runWhoseRenewalHasExpiredIsStopped and delayedRenewalCountsFromTheTimeAtWhichItWasSent failed before and pass.

--- a/src/core/Counters.cpp
+++ b/src/core/Counters.cpp
@@ -113,6 +113,7 @@
     {PoolRunsWorkerGone, "banyanlock_pool_runs_total", "event=\"worker_gone\"", ""},
     {PoolRunsAdopted, "banyanlock_pool_runs_total", "event=\"adopted\"", ""},
     {PoolRunsUnordered, "banyanlock_pool_runs_total", "event=\"unordered\"", ""},
+    {PoolRunsUnrenewed, "banyanlock_pool_runs_total", "event=\"unrenewed\"", ""},
     {PoolPreemptions, "banyanlock_pool_preemptions_total", "", "Units stopped to make room for others."},
     {PoolEarlyPreemptions, "banyanlock_pool_early_preemptions_total", "",
      "Units stopped to make room for others within 1 s of their start."},
--- a/src/core/Counters.h
+++ b/src/core/Counters.h
@@ -114,6 +114,7 @@
     PoolRunsWorkerGone,
     PoolRunsAdopted,
     PoolRunsUnordered,
+    PoolRunsUnrenewed,
     PoolPreemptions,
     PoolEarlyPreemptions,
     PoolShareChanges,
--- a/src/pool/SupervisorLists.cpp
+++ b/src/pool/SupervisorLists.cpp
@@ -229,6 +229,35 @@
     }
 }
 
+bool WorkerSupervisor::hasOldRenewal(TimePoint now) const
+{
+    return now - m_ownerContact >= m_timing.lease / 2;
+}
+
+void WorkerSupervisor::stopUnrenewedRuns(TimePoint now)
+{
+    if (!m_runsKnown || !m_hasOwnerContact || now - m_ownerContact <= m_timing.lease) {
+        return;
+    }
+    const auto stopUnrenewed = [&](const RunName &run) {
+        if (m_stops.contains(run)) {
+            return;
+        }
+        m_counters.add(Counter::PoolRunsUnrenewed);
+        Log::warning("run_not_renewed", {{"run", describe(run)}, {"renewed_ms_ago", toMilliseconds(now - m_ownerContact)}});
+        beginStop(run, m_worker->incarnation, now);
+    };
+    for (const RunReport &report : m_runs) {
+        stopUnrenewed(report.run);
+    }
+    for (const auto &[run, pending] : m_starts) {
+        stopUnrenewed(run);
+    }
+    for (const auto &[run, confirmedAt] : m_confirmed) {
+        stopUnrenewed(run);
+    }
+}
+
 void WorkerSupervisor::onSuspended(Duration span)
 {
     Log::warning("instance_suspended", {{"span_ms", toMilliseconds(span)}});
--- a/src/pool/WorkerSupervisor.cpp
+++ b/src/pool/WorkerSupervisor.cpp
@@ -361,6 +361,7 @@
 void WorkerSupervisor::step(TimePoint now)
 {
     checkSilence(now);
+    stopUnrenewedRuns(now);
     sendStops(now);
     sendRenewal(now);
     sendIdentityQuery(now);
@@ -378,6 +379,9 @@
     if (incarnationToQuery()) {
         next = std::min(next, std::max(nextIdentityQuery(), now + fromMilliseconds(1)));
     }
+    if (m_runsKnown && m_hasOwnerContact && !m_runs.empty()) {
+        next = std::min(next, hasOldRenewal(now) ? now + m_timing.staleCheckInterval : m_ownerContact + m_timing.lease / 2);
+    }
     for (const auto &[run, pending] : m_stops) {
         if (!pending.outstanding) {
             next = std::min(next, std::max(pending.nextTry, now + fromMilliseconds(1)));
--- a/src/pool/WorkerSupervisor.h
+++ b/src/pool/WorkerSupervisor.h
@@ -34,6 +34,8 @@
     Duration lateCallLimit = fromMilliseconds(12000); ///< Time within which a call without an answer may still be executed, also by a later
                                                       ///< incarnation; the longest delay that the users' bench plays.
     std::size_t maxListedEnds = banyanlock::maxListedEnds; ///< Number of ends from which lists may be truncated.
+    Duration staleCheckInterval = fromMilliseconds(100); ///< Interval at which the age of the owner's last renewal is checked once it is
+                                                         ///< old; timers stand still while the instance is suspended.
     Duration answerMargin = fromMilliseconds(700); ///< Time allowed for an answer beyond the requested wait.
 };
 
@@ -111,6 +113,8 @@
 ///
 /// Only the supervisor sends orders to the worker. It stores no state: after a restart it recovers the runs from the worker's lists. It
 /// renews the worker's lease only while the owner keeps renewing, so a worker that the owner can't reach stops without external action.
+/// The worker's clock stands still while the instance is suspended, and its lease lasts longer by that time. The supervisor's clock goes
+/// on, and it stops what runs on after the owner's renewal has expired.
 ///
 /// Calls name the worker only by its id, and a restarted worker has seen no fencing token. Each process of the agent therefore draws its
 /// tokens from the version of its registration in the table service, and raises its token whenever the worker may have restarted: lists
@@ -250,6 +254,8 @@
     bool isListed(const RunName &run) const;
     bool isAnswering(TimePoint now) const;
     void checkSilence(TimePoint now);
+    bool hasOldRenewal(TimePoint now) const;
+    void stopUnrenewedRuns(TimePoint now);
     void sendRenewal(TimePoint now);
     void sendStops(TimePoint now);
 
--- a/tests/pool/SuspensionTest.cpp
+++ b/tests/pool/SuspensionTest.cpp
@@ -92,6 +92,18 @@
     }
 }
 
+// A suspension that is longer than the owner allows for: the agent stops the tasks as soon as it runs again.
+BOOST_AUTO_TEST_CASE(tasksAreStoppedAfterASuspensionThatOutlastsTheRenewal)
+{
+    InstanceUnderLoad load(1);
+    load.world.partitionAgentFromEntries(InstanceUnderLoad::instance, true);
+    load.world.run(fromMilliseconds(500));
+    load.suspendFor(fromMilliseconds(7000));
+    load.world.run(fromMilliseconds(200));
+    BOOST_TEST(load.world.worker(InstanceUnderLoad::instance).runningCount() == 0U);
+    load.checkRunElsewhereOnce();
+}
+
 // Work lost: an instance that is suspended but not cut off keeps its tasks.
 BOOST_AUTO_TEST_CASE(tasksSurviveASuspensionWithoutACut)
 {
--- a/tests/pool/WorkerSupervisorTest.cpp
+++ b/tests/pool/WorkerSupervisorTest.cpp
@@ -309,6 +309,43 @@
     BOOST_TEST(hasExpired());
 }
 
+// Two runs of a task: a run worked on after the owner's renewal had expired (review case 13).
+BOOST_AUTO_TEST_CASE(runWhoseRenewalHasExpiredIsStopped)
+{
+    BOOST_REQUIRE(takePollAndConfirmStarts().has_value());
+    now += SupervisorTiming().lease;
+    BOOST_TEST(takeStops().empty());
+    now += fromMilliseconds(1);
+    const std::vector<StopTask> stops = takeStops();
+    BOOST_REQUIRE_EQUAL(stops.size(), 1U);
+    BOOST_TEST((stops.front().run == firstRun));
+}
+
+// The same after a delayed call: the owner counts the lease from the time at which it sent the renewal.
+BOOST_AUTO_TEST_CASE(delayedRenewalCountsFromTheTimeAtWhichItWasSent)
+{
+    const std::optional<RenewWorker> poll = takePollAndConfirmStarts();
+    BOOST_REQUIRE(poll.has_value());
+    now += fromMilliseconds(1000);
+    WorkerLists lists;
+    lists.startedUnixMilliseconds = workerIncarnation.startedUnixMilliseconds;
+    lists.clock = now - bornAt;
+    lists.runs = {{firstRun, false, {}}};
+    supervisor.onLists(*poll, {lists, {}}, now);
+    BOOST_TEST(takeStops().empty());
+    const Duration delay = callValidity / 2;
+    SuperviseRequest renewal;
+    renewal.epoch = 1;
+    renewal.renews = true;
+    renewal.knownIncarnation = supervisor.status(now, 0).agentIncarnation;
+    renewal.validUntil = now - delay + callValidity;
+    supervisor.onSupervise(renewal, now);
+    now += SupervisorTiming().lease - delay;
+    BOOST_TEST(takeStops().empty());
+    now += fromMilliseconds(1);
+    BOOST_TEST(takeStops().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(unansweredStartIsKeptUntilWorkerClockHasPassedItsDeadline)
 {
     // The worker's clock may be behind the agent's estimate after a suspension.
