Cancel jobs in the soak whose submission is held up

A proxy can hold bytes up and pass them on later, and callers cancel a job at another entry while its submission is held up before the table service. A cancellation that was answered with 410 must not be followed by a start of that job.

--- a/tests/soak/Soak.cpp
+++ b/tests/soak/Soak.cpp
@@ -171,7 +171,7 @@
     if (!m_jobs.empty()) {
         const auto chosen = std::next(m_jobs.begin(), m_random.below(static_cast<std::uint32_t>(m_jobs.size())));
         if (m_random.chance(0.1)) {
-            cancel(chosen->first);
+            cancel(chosen->first, m_random.below(static_cast<std::uint32_t>(m_options.entries)));
         } else {
             ask(chosen->first, m_random.below(static_cast<std::uint32_t>(m_options.entries)));
         }
@@ -179,6 +179,9 @@
     if (m_random.chance(0.5)) {
         injectFault();
     }
+    if (m_random.chance(0.04)) {
+        cancelHeldUpSubmission();
+    }
     m_loop.timers().subscribe(now + fromMilliseconds(100 + m_random.below(500)), [this](TimePoint) {
         scheduleRound();
     });
@@ -186,7 +189,13 @@
 
 void Soak::addJob()
 {
-    const std::string id = "job" + std::to_string(m_jobs.size());
+    const std::string id = makeJob();
+    submit(id, m_random.below(static_cast<std::uint32_t>(m_options.entries)));
+}
+
+std::string Soak::makeJob()
+{
+    std::string id = "job" + std::to_string(m_jobs.size());
     StepSpec step;
     step.tasks = 1 + m_random.below(6);
     step.demand = {8000, 16000, 1 + static_cast<std::int64_t>(m_random.below(4))};
@@ -218,7 +227,7 @@
     m_checks.addJob(id, spec);
     m_specs[id] = {queues.at(m_random.below(queues.size())), Json{{"spec", spec.payload}, {"phases", phases}}.dump()};
     m_jobs[id].path = "/" + m_specs[id].first + "/";
-    submit(id, m_random.below(static_cast<std::uint32_t>(m_options.entries)));
+    return id;
 }
 
 void Soak::call(const std::string &method, const std::string &id, std::size_t entry, const std::string &body,
@@ -265,10 +274,32 @@
     });
 }
 
-void Soak::cancel(const std::string &id)
+void Soak::cancel(const std::string &id, std::size_t entry)
 {
     m_jobs.at(id).cancelled = true;
-    call("DELETE", id, m_random.below(static_cast<std::uint32_t>(m_options.entries)), "", [](const HttpReply &) {
+    call("DELETE", id, entry, "", [this, id](const HttpReply &reply) {
+        constexpr int unknownJob = 410;
+        if (reply.delivery == HttpDelivery::Complete && reply.status == unknownJob) {
+            m_checks.addAbsence(id);
+        }
+    });
+}
+
+void Soak::cancelHeldUpSubmission()
+{
+    const std::size_t entry = m_random.below(static_cast<std::uint32_t>(m_options.entries));
+    const std::size_t other = (entry + 1) % m_options.entries;
+    SoakProxy &storeLink = *m_storeProxies[entry];
+    const std::string id = makeJob();
+    const TimePoint now = EventLoop::now();
+    fault("store link " + std::to_string(entry) + " holds up " + id + ", which is cancelled at entry " + std::to_string(other));
+    storeLink.setFault(ProxyFault::HeldUp);
+    submit(id, entry);
+    m_loop.timers().subscribe(now + fromMilliseconds(500 + m_random.below(1500)), [this, id, other](TimePoint) {
+        cancel(id, other);
+    });
+    m_loop.timers().subscribe(now + fromMilliseconds(2500 + m_random.below(4000)), [&storeLink](TimePoint) {
+        storeLink.setFault(ProxyFault::None);
     });
 }
 
--- a/tests/soak/Soak.h
+++ b/tests/soak/Soak.h
@@ -72,8 +72,10 @@
     void writeConfiguration();
     void scheduleRound();
     void addJob();
+    std::string makeJob();
     void submit(const std::string &id, std::size_t entry);
-    void cancel(const std::string &id);
+    void cancel(const std::string &id, std::size_t entry);
+    void cancelHeldUpSubmission();
     void ask(const std::string &id, std::size_t entry);
     void call(const std::string &method, const std::string &id, std::size_t entry, const std::string &body,
               std::function<void(const HttpReply &)> callback);
--- a/tests/soak/SoakProxy.cpp
+++ b/tests/soak/SoakProxy.cpp
@@ -119,21 +119,31 @@
             } else if (fromClient ? session->muteToServer : session->muteToClient) {
                 pump(session, fromClient);
             } else if (m_fault == ProxyFault::Delayed) {
-                asio::steady_timer &timer = session->timers[fromClient ? 1 : 0];
-                timer.expires_after(m_delay);
-                timer.async_wait([this, session, fromClient, count](const asio::error_code &stopped) {
-                    if (!stopped) {
-                        passOn(session, fromClient, count);
-                    }
-                });
+                passOnLater(session, fromClient, count, m_delay);
             } else {
                 passOn(session, fromClient, count);
             }
         });
 }
 
+void SoakProxy::passOnLater(const std::shared_ptr<Session> &session, bool fromClient, std::size_t count, Duration delay)
+{
+    asio::steady_timer &timer = session->timers[fromClient ? 1 : 0];
+    timer.expires_after(delay);
+    timer.async_wait([this, session, fromClient, count](const asio::error_code &stopped) {
+        if (!stopped) {
+            passOn(session, fromClient, count);
+        }
+    });
+}
+
 void SoakProxy::passOn(const std::shared_ptr<Session> &session, bool fromClient, std::size_t count)
 {
+    if (m_fault == ProxyFault::HeldUp) {
+        constexpr Duration pollInterval = fromMilliseconds(20);
+        passOnLater(session, fromClient, count, pollInterval);
+        return;
+    }
     Tcp::socket &target = fromClient ? session->server : session->client;
     asio::async_write(target, asio::buffer(session->buffers[fromClient ? 1 : 0].data(), count),
                       [this, session, fromClient](const asio::error_code &error, std::size_t) {
--- a/tests/soak/SoakProxy.h
+++ b/tests/soak/SoakProxy.h
@@ -18,6 +18,7 @@
     Silenced, ///< It takes them and passes nothing on; connections of that time stay silent.
     AnswersLost, ///< It passes on what clients send, and no answers; connections of that time stay so.
     AnswersCut, ///< It passes on what clients send, and closes the connection in place of each second answer.
+    HeldUp, ///< It passes nothing on until the fault ends, and then everything.
     Refusing, ///< It closes new connections at once.
 };
 
@@ -53,6 +54,7 @@
     void accept();
     void pump(const std::shared_ptr<Session> &session, bool fromClient);
     void passOn(const std::shared_ptr<Session> &session, bool fromClient, std::size_t count);
+    void passOnLater(const std::shared_ptr<Session> &session, bool fromClient, std::size_t count, Duration delay);
     static void close(const std::shared_ptr<Session> &session);
 
     asio::io_context &m_context;
