Keep the rows of early cancellations in one map

Found by reading the diff: versions and workspaces were in two maps by the same key, and a comment gave a memory bound that nobody had measured. No change of behaviour.

--- a/src/pool/EarlyCancellations.cpp
+++ b/src/pool/EarlyCancellations.cpp
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <charconv>
+#include <optional>
 #include <xxhash.h>
 
 namespace banyanlock
@@ -49,8 +50,8 @@
     if (!row.key.starts_with(PoolRows::earlyCancelPrefix)) {
         return false;
     }
-    const auto known = m_versions.find(row.key);
-    if (known != m_versions.end() && row.version <= known->second) {
+    const auto known = m_rows.find(row.key);
+    if (known != m_rows.end() && row.version <= known->second.version) {
         return true;
     }
     remove(row.key);
@@ -62,31 +63,27 @@
         Log::warning("early_cancellation_row_unreadable", {{"row", row.key}, {"version", static_cast<std::int64_t>(row.version)}});
     }
     // An unreadable row binds submissions like any other and is erased with the others.
-    const std::string name = workspace.value_or(std::string());
-    m_versions[row.key] = row.version;
-    m_workspaces[row.key] = name;
-    ++m_counts[name];
+    const EarlyCancellation &added = m_rows[row.key] = {row.version, workspace.value_or(std::string())};
+    ++m_counts[added.workspace];
     return true;
 }
 
 void EarlyCancellations::remove(const std::string &key)
 {
-    const auto workspace = m_workspaces.find(key);
-    if (workspace == m_workspaces.end()) {
+    const auto row = m_rows.find(key);
+    if (row == m_rows.end()) {
         return;
     }
-    const auto count = m_counts.find(workspace->second);
+    const auto count = m_counts.find(row->second.workspace);
     if (--count->second == 0) {
         m_counts.erase(count);
     }
-    m_workspaces.erase(workspace);
-    m_versions.erase(key);
+    m_rows.erase(row);
 }
 
 void EarlyCancellations::clear()
 {
-    m_versions.clear();
-    m_workspaces.clear();
+    m_rows.clear();
     m_counts.clear();
 }
 
--- a/src/pool/EarlyCancellations.h
+++ b/src/pool/EarlyCancellations.h
@@ -5,7 +5,6 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,6 +27,12 @@
 /// @return JSON text of the row that records an early cancellation.
 std::string encodeEarlyCancellation(const std::string &workspace);
 
+/// A recorded cancellation of a job that did not exist.
+struct EarlyCancellation {
+    std::uint64_t version = 0; ///< Version of its row; a repeated cancellation writes it anew.
+    std::string workspace; ///< Workspace of the caller; empty if the row is unreadable.
+};
+
 /// Cancellations of jobs that did not exist, as recorded in the table service.
 ///
 /// Such a cancellation is answered with `CallOutcome::NoSuchJob`, although a transaction that records the job may still be on its way. Each
@@ -36,7 +41,7 @@
 class EarlyCancellations
 {
 public:
-    /// Maximum number of rows of a workspace. It bounds the memory of the entries: 5 MB for 110 workspaces.
+    /// Maximum number of rows of a workspace, which bounds the table and the memory of the entries.
     static constexpr std::size_t maxPerWorkspace = 256;
 
     /// Applies a row.
@@ -51,18 +56,17 @@
     /// @return Whether it has as many rows as it may have.
     bool isFull(const std::string &workspace) const;
 
-    /// @return Version of each row, by key.
-    const std::map<std::string, std::uint64_t> &versions() const
+    /// @return The rows, by key.
+    const std::map<std::string, EarlyCancellation> &rows() const
     {
-        return m_versions;
+        return m_rows;
     }
 
 private:
     void remove(const std::string &key);
 
-    std::map<std::string, std::uint64_t> m_versions;
-    std::map<std::string, std::string> m_workspaces; // by key
-    std::map<std::string, std::size_t> m_counts; // by workspace
+    std::map<std::string, EarlyCancellation> m_rows; // by key
+    std::map<std::string, std::size_t> m_counts; // rows by workspace
 };
 
 } // namespace banyanlock
--- a/src/pool/PoolScheduler.cpp
+++ b/src/pool/PoolScheduler.cpp
@@ -244,22 +244,22 @@
 
 void PoolScheduler::addEarlyCancellationErasures(PoolBatch &batch, std::size_t &room, TimePoint now)
 {
-    const std::map<std::string, std::uint64_t> &rows = m_jobs.earlyCancellations().versions();
+    const std::map<std::string, EarlyCancellation> &rows = m_jobs.earlyCancellations().rows();
     std::erase_if(m_earlyCancellations, [&](const auto &entry) {
         return !rows.contains(entry.first);
     });
     const std::string table(PoolRows::table);
-    for (const auto &[key, version] : rows) {
+    for (const auto &[key, row] : rows) {
         NoticedRow &noticed = m_earlyCancellations[key];
-        if (noticed.version != version) {
-            noticed = {version, now}; // recorded anew by a repeated cancellation
+        if (noticed.version != row.version) {
+            noticed = {row.version, now}; // recorded anew by a repeated cancellation
         }
         constexpr std::size_t entries = 2;
         if (now - noticed.since < m_timing.retentionPeriod || room < entries) {
             continue;
         }
         room -= entries;
-        batch.checks.push_back({table, key, version}); // a repeated cancellation may be on its way to this entry
+        batch.checks.push_back({table, key, row.version}); // a repeated cancellation may be on its way to this entry
         batch.writes.push_back({table, key, std::nullopt});
         m_erasedEarlyCancellations.push_back(key);
     }
--- a/src/pool/PoolWorker.h
+++ b/src/pool/PoolWorker.h
@@ -30,7 +30,7 @@
     TimePoint lastRenewalSent{}; ///< Latest time at which this owner or an earlier one can have sent a renewal.
     bool pollInFlight = false; ///< A long-polling call is in flight.
     std::uint64_t pollCall = 0; ///< Number of the long-polling call.
-    bool callUnanswered = false; ///< The latest call to end was not answered.
+    bool callUnanswered = false; ///< The call that ended last got no answer.
     TimePoint nextPoll{}; ///< When to poll next; later than now only after a failure.
     std::uint64_t batch = 0; ///< Number of the latest batch of orders.
     std::vector<TaskOrder> orders; ///< Orders that are not sent yet.
