Read the system's clocks in one place, and keep the version that a release replaces as one value

Whether a release was sent and which version it replaces were two members that changed together, now one optional. NoticedRow stands with the other types of PoolScheduler.

--- a/src/core/Time.h
+++ b/src/core/Time.h
@@ -13,6 +13,16 @@
 /// Duration in microseconds.
 using Duration = std::chrono::microseconds;
 
+/// Reads a clock of the system.
+/// @param clock Clock as `clock_gettime` names it.
+/// @return Its time since its origin.
+inline Duration readSystemClock(clockid_t clock)
+{
+    timespec time{};
+    clock_gettime(clock, &time);
+    return std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec));
+}
+
 /// Monotonic clock of the process. Decision code never reads it; the host daemons pass `now` in.
 struct MonotonicClock {
     /// Span type of the clock.
@@ -30,9 +40,7 @@
     /// @return The current point in time.
     static time_point now()
     {
-        timespec time{};
-        clock_gettime(CLOCK_BOOTTIME, &time);
-        return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec)));
+        return time_point(readSystemClock(CLOCK_BOOTTIME));
     }
 };
 
@@ -40,9 +48,7 @@
 /// suspension.
 inline Duration runningTime()
 {
-    timespec time{};
-    clock_gettime(CLOCK_MONOTONIC, &time);
-    return std::chrono::seconds(time.tv_sec) + std::chrono::duration_cast<Duration>(std::chrono::nanoseconds(time.tv_nsec));
+    return readSystemClock(CLOCK_MONOTONIC);
 }
 
 /// Point in time of the monotonic clock.
--- a/src/pool/PoolScheduler.h
+++ b/src/pool/PoolScheduler.h
@@ -241,6 +241,12 @@
         std::uint32_t continuationCount = 0;
     };
 
+    /// Version of the row of an early cancellation, and when this owner first noticed it.
+    struct NoticedRow {
+        std::uint64_t version = 0;
+        TimePoint since{};
+    };
+
     void requestPlan()
     {
         m_changed = true;
@@ -416,11 +422,6 @@
                                                      // worker with a good record
     std::map<std::string, TimePoint> m_endedSince; // ended jobs, with the time at which this owner first noticed the end
     std::vector<std::string> m_erasedJobs; // jobs whose rows the batch in flight erases
-    /// Version of the row of an early cancellation, and when this owner first noticed it.
-    struct NoticedRow {
-        std::uint64_t version = 0;
-        TimePoint since{};
-    };
     std::map<std::string, NoticedRow> m_earlyCancellations; // by key
     std::vector<std::string> m_erasedEarlyCancellations; // keys of the rows that the batch in flight erases
     std::vector<std::string> m_erasedAgents; // agents whose rows the batch in flight erases
--- a/src/poolhost/PoolOwner.h
+++ b/src/poolhost/PoolOwner.h
@@ -128,7 +128,6 @@
         if (release) {
             row.owner.clear();
             row.successor = m_successor;
-            m_releaseSent = true;
             m_releaseReplaces = m_mirror.ownerVersion();
             Log::info("release_sent", {{"epoch", static_cast<std::int64_t>(row.epoch)}, {"successor", m_successor}});
         }
@@ -189,7 +188,7 @@
     /// this one renews nothing. Only a newer version of the row that still names this entry shows that all copies fail their check.
     bool mayHaveReleased() const
     {
-        return m_releaseSent && m_mirror.ownerVersion() == m_releaseReplaces;
+        return m_releaseReplaces == m_mirror.ownerVersion();
     }
 
     /// Hands the pool over to a stronger entry that asks for it.
@@ -245,7 +244,7 @@
     {
         m_pendingTransaction.reset();
         m_successor.clear();
-        m_releaseSent = false;
+        m_releaseReplaces.reset();
         m_scheduler.releaseOwnership();
         m_mirror.setOwnsProgress(false);
     }
@@ -444,8 +443,7 @@
     int m_copies = 0; // copies of the pending transaction in flight
     TimePoint m_sentAt{}; // of the newest copy
     bool m_drainRequested = false;
-    bool m_releaseSent = false; // a transaction that releases the pool
-    std::uint64_t m_releaseReplaces = 0; // version of the owner's row that the newest such transaction checks
+    std::optional<std::uint64_t> m_releaseReplaces; // version of the owner's row that the newest release checks; none was sent
     std::string m_successor; // stronger entry that the pool is being handed over to; empty for none
     TimePoint m_ownedSince{};
     OwnerLag m_lag;
