Make the key of an early cancellation only for submissions and cancellations

Each call hashed it, also queries of states and counts, which are the most frequent calls and never use it. Not measured. No change of behaviour.

--- a/src/poolhost/PoolApi.h
+++ b/src/poolhost/PoolApi.h
@@ -89,7 +89,7 @@
         std::string job;
         std::string queue;
         std::string workspace;
-        std::string earlyCancelKey; // of the row that records a cancellation before the submission
+        std::string earlyCancelKey; // of the row that records a cancellation before the submission; empty for queries
         GraphRecord record;
         int configurationChanges = 0;
     };
@@ -162,9 +162,12 @@
         exchange->queue = queue->name;
         exchange->workspace = workspace == nullptr ? "" : workspace->name;
         exchange->job = exchange->call.path.substr(queue->pathPrefix.size());
-        exchange->earlyCancelKey = earlyCancellationKey({queue->host, queue->pathPrefix, exchange->workspace}, exchange->job);
+        const auto setEarlyCancelKey = [&] {
+            exchange->earlyCancelKey = earlyCancellationKey({queue->host, queue->pathPrefix, exchange->workspace}, exchange->job);
+        };
         switch (exchange->call.kind) {
         case CallKind::Submit:
+            setEarlyCancelKey();
             submit(exchange, *queue);
             return;
         case CallKind::State:
@@ -172,6 +175,7 @@
             answerFromMirror(exchange);
             return;
         case CallKind::Cancel:
+            setEarlyCancelKey();
             lookUp(exchange);
             return;
         }
