--- a/tests/pool/OwnershipTest.cpp
+++ b/tests/pool/OwnershipTest.cpp
@@ -1,4 +1,5 @@
 #include "PoolWorld.h"
+#include "WorldChecks.h"
 #include "pool/OwnerCandidate.h"
 #include "pool/OwnerRow.h"
 
@@ -47,13 +48,6 @@
     return row.owner.empty();
 }
 
-void checkNoViolations(const PoolWorld &world)
-{
-    for (const std::string &violation : world.violations()) {
-        BOOST_ERROR(violation);
-    }
-}
-
 /// Cuts the region of an entry and three workers off, and checks that their tasks end with the leases that are granted now and run
 /// elsewhere.
 void checkRunsLapseInRegionOf(PoolWorld &world, std::size_t entry)
@@ -71,6 +65,22 @@
     checkNoViolations(world);
 }
 
+/// A pool of equal entries in which each worker runs tasks of one job.
+struct OwnerUnderLoad {
+    static constexpr std::uint32_t tasks = 12;
+    PoolWorld world{entriesWith({strong, strong, strong})};
+    std::size_t first = 0; // owner at first
+
+    explicit OwnerUnderLoad(Duration taskDuration)
+    {
+        world.run(startupTime);
+        first = world.owner();
+        world.submit("job", makeJob(makeStep(tasks, 1, toMilliseconds(taskDuration))), "normal", first);
+        world.run(fromMilliseconds(2000));
+        BOOST_REQUIRE(world.startsOf("job") == tasks);
+    }
+};
+
 /// Runs a pool under load whose only strong entry gets contact with the table service late; a weak entry owns the pool at first.
 struct LateStrongEntry {
     PoolWorld world{entriesWith({weak, weak, strong})};
@@ -180,16 +190,11 @@
 // Two runs of a task: an owner whose release had no answer renewed leases while the next owner relied on the released row.
 BOOST_AUTO_TEST_CASE(ownerRenewsNothingWhileItsReleaseMayHaveTakenEffect)
 {
-    PoolWorld world(entriesWith({strong, strong, strong}));
-    world.run(startupTime);
-    const std::size_t first = world.owner();
-    constexpr std::int64_t milliseconds = 30000;
-    world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", first);
-    world.run(fromMilliseconds(2000));
-    BOOST_REQUIRE(world.startsOf("job") == 12U);
-    world.drainEntry(first);
+    OwnerUnderLoad load(fromMilliseconds(30000));
+    PoolWorld &world = load.world;
+    world.drainEntry(load.first);
     BOOST_REQUIRE(runUntilOwnerRow(world, isReleased));
-    checkRunsLapseInRegionOf(world, first); // the answer is on its way
+    checkRunsLapseInRegionOf(world, load.first); // the answer is on its way
 }
 
 // The same by a hand-over to a stronger entry.
@@ -206,19 +211,15 @@
 // Work lost: the owner stops renewing when it sends its release, so its leases have to last for an outage that begins at that moment.
 BOOST_AUTO_TEST_CASE(plannedStopOfTheOwnerInAnOutageLosesNoWork)
 {
-    PoolWorld world(entriesWith({strong, strong, strong}));
-    world.run(startupTime);
-    const std::size_t first = world.owner();
-    constexpr std::int64_t milliseconds = 12000;
-    world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", first);
-    world.run(fromMilliseconds(2000));
-    world.drainEntry(first);
+    OwnerUnderLoad load(fromMilliseconds(12000));
+    PoolWorld &world = load.world;
+    world.drainEntry(load.first);
     world.tableService().down = true;
     world.run(fromMilliseconds(4600));
     world.tableService().down = false;
     world.run(fromMilliseconds(15000));
     BOOST_TEST(static_cast<int>(world.stateOf("job")) == static_cast<int>(GraphState::Completed));
-    BOOST_TEST(world.startsOf("job") == 12U);
+    BOOST_TEST(world.startsOf("job") == OwnerUnderLoad::tasks);
     checkNoViolations(world);
 }
 
@@ -227,12 +228,9 @@
 {
     int resumedAsOwner = 0;
     for (int answerAge = 0; answerAge < 40; answerAge += 4) { // at some of them the answer, and no newer one, waits for the entry
-        PoolWorld world(entriesWith({strong, strong, strong}));
-        world.run(startupTime);
-        const std::size_t first = world.owner();
-        constexpr std::int64_t milliseconds = 40000;
-        world.submit("job", makeJob(makeStep(12, 1, milliseconds)), "normal", first);
-        world.run(fromMilliseconds(2000));
+        OwnerUnderLoad load(fromMilliseconds(40000));
+        PoolWorld &world = load.world;
+        const std::size_t first = load.first;
         const std::string firstName = recordedOwner(world).owner;
         world.freezeEntry(first, true);
         BOOST_REQUIRE(runUntilOwnerRow(world, [&](const OwnerRow &row) {
--- a/tests/pool/PoolWorld.h
+++ b/tests/pool/PoolWorld.h
@@ -263,6 +263,7 @@
     void answerRenewal(std::size_t index, std::uint64_t generation, const RenewWorker &action, const RenewWorker &received,
                        TimePoint deadline);
     void call(PoolCall call, const std::string &job, std::size_t entry);
+    void noteAbsence(const PoolCall &call, const std::string &job);
     void writeConfiguration();
 
     std::vector<VirtualLoop *> runningLoops() const;
@@ -281,8 +282,6 @@
     std::vector<std::unique_ptr<Entry>> m_entries;
     std::list<std::unique_ptr<Entry>> m_killedEntries; // kept, since pending callbacks still refer to them
     std::vector<std::unique_ptr<Agent>> m_agents;
-    void noteAbsence(const PoolCall &call, const std::string &job);
-
     std::map<std::string, CallAnswer> m_answers;
     std::map<std::string, std::string> m_submittedPaths; // by job
     std::set<std::string> m_absentPaths; // where a cancellation with the submitters' key was answered with `NoSuchJob`
